--- /dev/null
+++ b/crates/latchtrack-core/src/constants.rs
@@ -0,0 +1,64 @@
+//! Every constant of the core, each with its unit and its reason.
+
+use crate::Millis;
+
+/// Weight of free cores in a machine's score (Eq. 5: the two weights add up to 1; 0.8 is the
+/// paper's choice, section 6.6).
+pub const ALPHA: f64 = 0.8;
+/// Weight of free memory in a machine's score (Eq. 5, section 6.6).
+pub const BETA: f64 = 0.2;
+/// Weight of free GPUs; ours: keeps machines with GPUs for the jobs that need them.
+pub const GAMMA: f64 = 1.0;
+/// Tasks that start together; an array goes in whole slices. Tasks of a batch are independent, so
+/// one is the slice that leaves least room unused.
+pub const SLICE: u32 = 1;
+/// ms an empty machine is kept before it goes back (the design's starting value).
+pub const IDLE_WAIT_MS: Millis = 20_000;
+/// ms a job may be passed over before smaller jobs stop taking its room.
+pub const PASS_OVER_MS: Millis = 10_000;
+/// ms a (type, zone, kind) that had no machine is left alone.
+pub const EXHAUSTED_MS: Millis = 8_000;
+/// Rentals that may be open at once: more would only wait in line for the cloud's call rate.
+pub const OPEN_HIRES: usize = 4;
+/// Machines in one rental call (the cloud's own bound).
+pub const HIRE_MOST: u32 = 50;
+/// ms of silence after which a machine is asked directly: two lost reports.
+pub const PROBE_MS: Millis = 6_000;
+/// ms of silence after which a machine is deleted and its tasks go elsewhere.
+pub const SILENCE_MS: Millis = 12_000;
+/// ms a new leader waits for the report of a machine of its predecessor before it deletes it.
+pub const SETTLE_MS: Millis = 9_000;
+/// Share of the machines that may be silent before silence is held to be our own fault.
+pub const SILENT_SHARE: f64 = 0.5;
+/// Machines below which the share above says nothing.
+pub const SILENT_LEAST: usize = 3;
+/// ms added to a worker's lease before it counts as run out: late answers (4 s) and drift.
+pub const LEASE_MARGIN_MS: Millis = 5_000;
+/// Times its boot time after which a machine that is not up is no longer counted on.
+pub const BOOT_LATE: f64 = 2.0;
+/// Times its boot time after which a machine that is not up is returned.
+pub const BOOT_NEVER: f64 = 4.0;
+/// ms added to both, for types that boot in no time.
+pub const BOOT_GRACE_MS: Millis = 10_000;
+/// ms a task that was refused or stopped waits before it is placed again.
+pub const REFUSED_PAUSE_MS: Millis = 1_000;
+/// ms the first pause of a failing job lasts; doubles with each further machine.
+pub const FAIL_PAUSE_MS: Millis = 1_000;
+/// ms the pause of a failing job lasts at most.
+pub const FAIL_PAUSE_MOST_MS: Millis = 60_000;
+/// Different machines on which a job fails before the job, not the machines, is suspected.
+pub const JOB_SUSPECT: usize = 3;
+/// Different jobs failing on a machine before it gets no more tasks and goes back.
+pub const MACHINE_SUSPECT: usize = 2;
+/// ms a machine gets no task after a task failed on it while other jobs have not yet judged it.
+pub const PROBATION_MS: Millis = 15_000;
+/// Tasks in one stored chunk of results: 1 bit each, 2 KiB, which stays under 3 KiB as text.
+pub const CHUNK_TASKS: u32 = 16_384;
+/// Most tasks of a job (the protocol's bound).
+pub const TASKS_MOST: u32 = 100_000;
+/// Bits of an attempt number below the token: 16 million launches in one term.
+pub const ATTEMPT_BITS: u32 = 24;
+/// Names of machines that are gone, kept so that late reports do not bring them back.
+pub const GONE_KEPT: usize = 4_096;
+/// ms between two stops of the same task while it does not end.
+pub const STOP_REPEAT_MS: Millis = 2_000;
--- /dev/null
+++ b/crates/latchtrack-core/src/job.rs
@@ -0,0 +1,230 @@
+//! Jobs and their tasks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use crate::bitmap::Bitmap;
+use crate::constants::*;
+use crate::Millis;
+
+/// The id of a job: `req-` and a number of at least six digits.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct JobId(pub u64);
+
+/// Why a text is no id.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+#[error("not an id of the form req-000412")]
+pub struct BadId;
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "req-{:06}", self.0)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = BadId;
+    fn from_str(s: &str) -> Result<Self, BadId> {
+        let digits = s.strip_prefix("req-").ok_or(BadId)?;
+        // One text per number, so that an id and its parsed form can stand for each other.
+        let canonical = (digits.len() == 6 || (digits.len() > 6 && !digits.starts_with('0')))
+            && digits.len() <= 18
+            && digits.bytes().all(|b| b.is_ascii_digit());
+        if !canonical {
+            return Err(BadId);
+        }
+        digits.parse().map(JobId).map_err(|_| BadId)
+    }
+}
+
+/// One task of a job.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = BadId;
+    fn from_str(s: &str) -> Result<Self, BadId> {
+        let (job, index) = s.split_once('/').ok_or(BadId)?;
+        Ok(TaskId { job: job.parse()?, index: index.parse().map_err(|_| BadId)? })
+    }
+}
+
+/// How urgent a job is, the most urgent first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Priority {
+    Production,
+    High,
+    Normal,
+    Low,
+}
+
+/// What a task takes of its machine.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub struct Demand {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// A job as its user described it.
+#[derive(Clone, PartialEq, Debug)]
+pub struct JobSpec {
+    pub id: JobId,
+    pub class: String,
+    pub team: String,
+    pub priority: Priority,
+    pub tasks: u32,
+    pub demand: Demand,
+    pub types: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub image: String,
+    pub image_gb: f64,
+    pub estimate_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    pub deadline_s: Option<f64>,
+}
+
+/// Where a task is.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Place {
+    pub machine: String,
+    pub attempt: u64,
+}
+
+/// An unfinished job as the leader sees it.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub spec: Arc<JobSpec>,
+    /// Wall clock of the submission, for the deadline.
+    pub submitted_ms: Millis,
+    /// Version of its open record.
+    pub stamp: u64,
+    /// First accepted under an earlier leader, which may have launched its tasks.
+    pub inherited: bool,
+    /// When this leader first saw it.
+    pub seen_at: Millis,
+    /// Tasks known to be done, and those whose result is stored.
+    pub done: Bitmap,
+    pub stored: Bitmap,
+    /// Chunks with results that are not stored.
+    pub dirty: BTreeSet<u32>,
+    /// The record as done has been refused: somebody else closed the job.
+    pub conflict: bool,
+    pub placed: BTreeMap<u32, Place>,
+    /// Tasks that came back, to be placed before those never tried.
+    pub again: BTreeSet<u32>,
+    cursor: u32,
+    /// Nothing of it is placed before this time.
+    pub pause_until: Millis,
+    /// Machines it failed on.
+    pub failed_on: BTreeSet<String>,
+    /// Since when it has found no room.
+    pub passed_since: Option<Millis>,
+}
+
+impl Job {
+    /// A job of which `done` is known to be complete and stored.
+    pub fn new(
+        spec: Arc<JobSpec>,
+        submitted_ms: Millis,
+        stamp: u64,
+        inherited: bool,
+        done: Bitmap,
+        now: Millis,
+    ) -> Self {
+        Job {
+            spec,
+            submitted_ms,
+            stamp,
+            inherited,
+            seen_at: now,
+            stored: done.clone(),
+            done,
+            dirty: BTreeSet::new(),
+            conflict: false,
+            placed: BTreeMap::new(),
+            again: BTreeSet::new(),
+            cursor: 0,
+            pause_until: 0,
+            failed_on: BTreeSet::new(),
+            passed_since: None,
+        }
+    }
+
+    /// Tasks neither done nor on a machine.
+    pub fn waiting(&self) -> u32 {
+        let placed_not_done = self.placed.keys().filter(|i| !self.done.get(**i)).count() as u32;
+        self.spec.tasks - self.done.ones() - placed_not_done
+    }
+
+    /// Takes up to `n` waiting tasks. Those not placed must come back by [`Job::give_back`].
+    pub fn take(&mut self, n: u32) -> Vec<u32> {
+        let mut out = Vec::with_capacity(n as usize);
+        while (out.len() as u32) < n {
+            let next = match self.again.pop_first() {
+                Some(i) => i,
+                None if self.cursor < self.spec.tasks => {
+                    self.cursor += 1;
+                    self.cursor - 1
+                }
+                None => break,
+            };
+            if !self.done.get(next) && !self.placed.contains_key(&next) {
+                out.push(next);
+            }
+        }
+        out
+    }
+
+    /// A task is off its machine without a result.
+    pub fn give_back(&mut self, index: u32) {
+        self.placed.remove(&index);
+        if index < self.cursor && !self.done.get(index) {
+            self.again.insert(index);
+        }
+    }
+
+    /// Wall clock time by which it should be complete.
+    pub fn deadline_ms(&self) -> Option<Millis> {
+        let d = self.spec.deadline_s?;
+        Some(self.submitted_ms.saturating_add((d.max(0.0) * 1000.0) as Millis))
+    }
+
+    /// Looks for a job that fails everywhere rather than for machines that fail everything.
+    pub fn suspect(&self) -> bool {
+        self.failed_on.len() >= JOB_SUSPECT
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ids_have_one_text_each() {
+        assert_eq!("req-000412".parse(), Ok(JobId(412)));
+        assert_eq!("req-1000412".parse::<JobId>().unwrap().to_string(), "req-1000412");
+        for bad in ["req-412", "req-0000412", "job-000412", "req-00041x", "", "req-", "req-+00412"]
+        {
+            assert_eq!(bad.parse::<JobId>(), Err(BadId), "{bad}");
+        }
+        let task: TaskId = "req-000412/3".parse().unwrap();
+        assert_eq!((task.index, task.to_string().as_str()), (3, "req-000412/3"));
+        assert!("req-000412/-1".parse::<TaskId>().is_err());
+    }
+}
--- /dev/null
+++ b/crates/latchtrack-core/src/lib.rs
@@ -0,0 +1,15 @@
+//! The scheduling core of latchtrack.
+//!
+//! Pure and deterministic: no sockets, clocks, threads or random numbers. Time comes in as an
+//! argument, what is to be done goes out as a list of effects.
+
+pub mod bitmap;
+pub mod constants;
+pub mod job;
+pub mod leader;
+pub mod machine;
+pub mod placement;
+pub mod rules;
+
+/// Milliseconds on the local steady clock, or on the wall clock where a name says so.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/latchtrack-core/src/machine.rs
@@ -0,0 +1,184 @@
+//! Machines, the reports of their workers and the runs on them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::job::{Demand, JobId, JobSpec, TaskId};
+use crate::Millis;
+
+/// A type of machine that the cloud rents out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MachineType {
+    pub name: String,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub boot_s: f64,
+    pub zones: Vec<String>,
+}
+
+impl MachineType {
+    /// How many tasks of this demand an empty machine takes.
+    pub fn holds(&self, d: &Demand) -> u32 {
+        fits(d, self.cpus, self.gpus, self.memory_gb)
+    }
+}
+
+/// How many tasks of a demand go into this much room.
+pub fn fits(d: &Demand, cpus: f64, gpus: f64, memory_gb: f64) -> u32 {
+    // A hair of slack: amounts are decimal numbers, their sums are not.
+    let part = |need: f64, have: f64| {
+        if need > 0.0 {
+            ((have + 1e-6) / need).floor().max(0.0)
+        } else {
+            f64::from(u32::MAX)
+        }
+    };
+    part(d.cpus, cpus).min(part(d.gpus, gpus)).min(part(d.memory_gb, memory_gb)) as u32
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Cause {
+    Done,
+    Stopped,
+    Error,
+    NoRoom,
+    Busy,
+    Unknown,
+}
+
+/// What a machine says of a run, or `Assigned` while it has said nothing.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    Assigned,
+    Fetching,
+    Running,
+    Saving,
+    Ended(Cause),
+}
+
+/// One line of a report.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct TaskReport {
+    pub task: TaskId,
+    pub attempt: u64,
+    pub phase: Phase,
+}
+
+/// What a worker says of its machine.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Report {
+    pub machine: String,
+    pub addr: String,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub notice_s: Option<f64>,
+    pub tasks: Vec<TaskReport>,
+}
+
+/// A command to a worker.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Command {
+    Launch { task: TaskId, attempt: u64 },
+    Stop { task: TaskId, attempt: u64, grace_s: f64 },
+    Forget { task: TaskId, attempt: u64 },
+}
+
+/// That a run is to stop.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Stop {
+    pub grace_s: f64,
+    /// When it was last sent.
+    pub sent_at: Option<Millis>,
+}
+
+/// One attempt at a task on a machine.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub task: TaskId,
+    pub attempt: u64,
+    /// None for a job that is closed or unknown: such a run is stopped.
+    pub spec: Option<Arc<JobSpec>>,
+    pub phase: Phase,
+    pub stop: Option<Stop>,
+    /// A launch has left for the machine.
+    pub launch_sent: bool,
+    /// A direct command with its launch was never answered: it may still execute while the
+    /// session and our token stand, so the attempt must never be forgotten in this session.
+    pub lost_call: bool,
+    /// When it was seen to run.
+    pub running_since: Option<Millis>,
+}
+
+impl Run {
+    /// Still takes room.
+    pub fn live(&self) -> bool {
+        !matches!(self.phase, Phase::Ended(_))
+    }
+}
+
+/// A rented machine.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub name: String,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub addr: Option<String>,
+    pub rented_at: Millis,
+    /// In the stored set; nothing is launched before.
+    pub stored: bool,
+    pub storing: bool,
+    /// From an earlier leader, and not yet seen to hold our token: an earlier leader's commands
+    /// may still arrive, so tasks may be on it that we do not know of.
+    pub unsettled: bool,
+    /// Session and number of the newest message.
+    pub newest: (u64, u64),
+    /// When we last heard it; None: not up yet.
+    pub heard: Option<Millis>,
+    /// When a report of it was last answered.
+    pub answered: Option<Millis>,
+    /// When the cloud takes it, by its own notice.
+    pub notice_at: Option<Millis>,
+    pub runs: BTreeMap<(TaskId, u64), Run>,
+    /// The open direct call.
+    pub call: Option<u64>,
+    /// No direct call before this time.
+    pub call_after: Millis,
+    /// Is to be deleted; no launches any more.
+    pub leaving: bool,
+    /// A delete is under way.
+    pub deleting: bool,
+    pub empty_since: Option<Millis>,
+    /// Jobs that failed here.
+    pub failed_jobs: BTreeSet<JobId>,
+    pub probation_until: Millis,
+    /// Images that it has fetched in this session.
+    pub images: BTreeSet<String>,
+}
+
+impl Machine {
+    /// Whether its worker has been heard.
+    pub fn up(&self) -> bool {
+        self.heard.is_some()
+    }
+
+    /// Room taken by live runs; None when a run of unknown size is on it.
+    pub fn used(&self) -> Option<Demand> {
+        let mut d = Demand::default();
+        for run in self.runs.values().filter(|r| r.live()) {
+            let spec = run.spec.as_ref()?;
+            d.cpus += spec.demand.cpus;
+            d.gpus += spec.demand.gpus;
+            d.memory_gb += spec.demand.memory_gb;
+        }
+        Some(d)
+    }
+}
--- /dev/null
+++ b/crates/latchtrack-core/src/placement.rs
@@ -0,0 +1,153 @@
+//! Where tasks go: the greedy best-fit-decreasing placer of the paper's Algorithm 3, the order of
+//! its Algorithm 1, and the choice of what to rent.
+
+use crate::constants::*;
+use crate::job::{Demand, JobSpec};
+use crate::machine::{fits, MachineType};
+use crate::Millis;
+
+/// The weights of Eq. 5, and ours for GPUs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    pub alpha: f64,
+    pub beta: f64,
+    pub gamma: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Weights { alpha: ALPHA, beta: BETA, gamma: GAMMA }
+    }
+}
+
+/// Room on one machine.
+#[derive(Clone, Debug)]
+pub struct Room {
+    /// None for a machine that is still being rented.
+    pub machine: Option<String>,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub free: Demand,
+    /// Up and able to take launches now; otherwise promised.
+    pub ready: bool,
+    /// Kept for a job that has waited too long.
+    pub held: bool,
+    pub score: f64,
+}
+
+impl Room {
+    /// How many tasks of a job it takes by size alone.
+    pub fn holds(&self, d: &Demand) -> u32 {
+        fits(d, self.free.cpus, self.free.gpus, self.free.memory_gb)
+    }
+
+    /// Takes `n` tasks out of it.
+    pub fn take(&mut self, d: &Demand, n: u32) {
+        let n = f64::from(n);
+        self.free.cpus -= d.cpus * n;
+        self.free.gpus -= d.gpus * n;
+        self.free.memory_gb -= d.memory_gb * n;
+    }
+}
+
+/// One term of a score: the part of the cluster's total, 0 where there is none of it.
+fn part(amount: f64, total: f64, weight: f64) -> f64 {
+    if total > 0.0 {
+        amount / total * weight
+    } else {
+        0.0
+    }
+}
+
+/// Eq. 8: free room as a weighted share of the running cluster; Eq. 9 for one task is the same
+/// sum over its demand.
+pub fn score(amount: &Demand, total: &Demand, w: &Weights) -> f64 {
+    part(amount.cpus, total.cpus, w.alpha)
+        + part(amount.memory_gb, total.memory_gb, w.beta)
+        + part(amount.gpus, total.gpus, w.gamma)
+}
+
+/// Eq. 9: a job's demand is one task's weighted share times its count.
+pub fn job_demand(task: &Demand, count: u32, total: &Demand, w: &Weights) -> f64 {
+    score(task, total, w) * f64::from(count)
+}
+
+/// Whether a job allows this type, zone and kind of machine.
+pub fn allowed(spec: &JobSpec, kind: &str, zone: &str, spot: bool) -> bool {
+    (spec.spot || !spot)
+        && spec.zone.as_deref().is_none_or(|z| z == zone)
+        && spec.types.as_ref().is_none_or(|t| t.iter().any(|t| t == kind))
+}
+
+/// Where a job stands in the queue; smaller goes first.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Rank {
+    /// 0 within its team's guarantee.
+    pub guaranteed: u8,
+    /// Deadline jobs first, the earliest deadline before the others (EDF).
+    pub deadline_ms: Millis,
+    /// Then falling demand.
+    pub minus_demand: f64,
+}
+
+/// Something the cloud may rent out.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Offer {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// What could be rented for a job, best first: spot before ordinary where the job allows it, then
+/// the smallest type that fits one task, then the zone. `rotate` turns the zones so that
+/// rentals spread over them.
+pub fn offers(spec: &JobSpec, types: &[MachineType], rotate: usize) -> Vec<Offer> {
+    let mut fitting: Vec<&MachineType> =
+        types.iter().filter(|t| t.holds(&spec.demand) > 0).collect();
+    fitting.sort_by(|a, b| {
+        let size = |t: &MachineType| (t.gpus, t.cpus, t.memory_gb);
+        size(a).partial_cmp(&size(b)).unwrap_or(std::cmp::Ordering::Equal)
+    });
+    let mut out = Vec::new();
+    for spot in [true, false] {
+        for t in &fitting {
+            let n = t.zones.len();
+            for i in 0..n {
+                let zone = &t.zones[(i + rotate) % n];
+                if allowed(spec, &t.name, zone, spot) {
+                    out.push(Offer { kind: t.name.clone(), zone: zone.clone(), spot });
+                }
+            }
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Worked by hand. Eqs 6 and 7: two machines of 16 CPUs/64 GB and one of 32/64 make 64 CPUs
+    /// and 192 GB. Eq. 8 for a machine with 4 CPUs and 16 GB free: 4/64*0.8 + 16/192*0.2
+    /// = 0.05 + 0.016666...; Eq. 9 for 5 tasks of 4 CPUs and 12 GB: (0.05 + 0.0125) * 5.
+    #[test]
+    fn scores_follow_the_papers_equations() {
+        let w = Weights::default();
+        let total = Demand { cpus: 16.0 + 16.0 + 32.0, gpus: 0.0, memory_gb: 64.0 + 64.0 + 64.0 };
+        let free = Demand { cpus: 4.0, gpus: 0.0, memory_gb: 16.0 };
+        assert!((score(&free, &total, &w) - (0.05 + 1.0 / 60.0)).abs() < 1e-12);
+        let task = Demand { cpus: 4.0, gpus: 0.0, memory_gb: 12.0 };
+        assert!((job_demand(&task, 5, &total, &w) - 0.3125).abs() < 1e-12);
+        assert_eq!(score(&free, &Demand::default(), &w), 0.0, "no machine runs");
+    }
+
+    #[test]
+    fn fits_is_bounded_by_the_scarcest_part() {
+        let d = Demand { cpus: 4.0, gpus: 0.0, memory_gb: 15.0 };
+        assert_eq!(fits(&d, 16.0, 0.0, 64.0), 4);
+        assert_eq!(fits(&d, 16.0, 0.0, 44.0), 2);
+        assert_eq!(fits(&Demand { gpus: 1.0, ..d }, 16.0, 0.0, 64.0), 0);
+        assert_eq!(fits(&d, -1.0, 0.0, 64.0), 0);
+    }
+}
--- /dev/null
+++ b/crates/latchtrack/src/actors/cloud.rs
@@ -0,0 +1,298 @@
+//! The client of the cloud, within its call rate.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use actix::prelude::*;
+use latchtrack_core::leader::{Event, HireOutcome, Listed};
+use latchtrack_core::machine::MachineType;
+use latchtrack_core::placement::Offer;
+
+use super::intake::{Intake, Types};
+use super::leader::{Came, Leader};
+use crate::clock::now_ms;
+use crate::constants::*;
+use crate::net::{finish, http_client, CallError};
+use crate::settings::Settings;
+use crate::wire::cloud::*;
+
+/// Something to do at the cloud, in the term of a token.
+#[derive(Message, Debug)]
+#[rtype(result = "()")]
+pub enum Errand {
+    Hire {
+        token: u64,
+        hire: String,
+        offer: Offer,
+        number: u32,
+    },
+    Return {
+        token: u64,
+        names: Vec<String>,
+    },
+    List {
+        token: u64,
+    },
+    /// Types and prices, which every node needs.
+    Types,
+}
+
+/// Whom to tell.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Customers {
+    pub intake: Addr<Intake>,
+    pub leader: Addr<Leader>,
+}
+
+pub struct Cloud {
+    client: awc::Client,
+    base: String,
+    rate: f64,
+    budget: f64,
+    filled_at: u64,
+    queue: VecDeque<Errand>,
+    waking: bool,
+    customers: Option<Customers>,
+    typed: bool,
+}
+
+impl Cloud {
+    pub fn new(settings: &Settings) -> Self {
+        let rate = settings.platform.params.cloud.rps * LIMIT_USED;
+        Cloud {
+            client: http_client(8),
+            base: format!("http://{}", settings.platform.services.cloud),
+            rate,
+            budget: rate,
+            filled_at: now_ms(),
+            queue: VecDeque::new(),
+            waking: false,
+            customers: None,
+            typed: false,
+        }
+    }
+
+    fn pump(&mut self, ctx: &mut Context<Self>) {
+        let now = now_ms();
+        let gone = now.saturating_sub(self.filled_at) as f64 / 1000.0;
+        // Bursts of two seconds are allowed; the other nodes may want part of it.
+        self.budget = (self.budget + gone * self.rate).min(self.rate.max(1.0));
+        self.filled_at = now;
+        while self.budget >= 1.0 {
+            let Some(errand) = self.queue.pop_front() else { return };
+            self.budget -= 1.0;
+            self.run(errand, ctx);
+        }
+        if !self.queue.is_empty() && !self.waking {
+            self.waking = true;
+            let ms = ((1.0 - self.budget) / self.rate * 1000.0) as u64 + 1;
+            ctx.run_later(Duration::from_millis(ms), |act, ctx| {
+                act.waking = false;
+                act.pump(ctx);
+            });
+        }
+    }
+
+    fn run(&mut self, errand: Errand, ctx: &mut Context<Self>) {
+        let client = self.client.clone();
+        let base = self.base.clone();
+        match errand {
+            Errand::Types => {
+                let work = async move { types(&client, &base).await };
+                ctx.spawn(work.into_actor(self).map(|types, act, ctx| {
+                    let wait = match types {
+                        Some(types) => {
+                            act.have_types(types);
+                            TYPES_MS
+                        }
+                        None if act.typed => TYPES_MS,
+                        None => CLOUD_RETRY_MS,
+                    };
+                    ctx.run_later(Duration::from_millis(wait), |act, ctx| {
+                        act.queue.push_back(Errand::Types);
+                        act.pump(ctx);
+                    });
+                }));
+            }
+            Errand::Hire { token, hire, offer, number } => {
+                let work = async move {
+                    let outcome = rent(&client, &base, &hire, &offer, number).await;
+                    (hire, outcome)
+                };
+                ctx.spawn(work.into_actor(self).map(move |(hire, outcome), act, ctx| {
+                    let wait = match outcome {
+                        HireOutcome::NotDone | HireOutcome::Lost => CLOUD_RETRY_MS,
+                        _ => 0,
+                    };
+                    act.tell(token, Event::Hired { hire, outcome }, wait, ctx);
+                }));
+            }
+            Errand::Return { token, names } => {
+                let work = async move {
+                    let ok = delete(&client, &base, &names).await;
+                    (names, ok)
+                };
+                ctx.spawn(work.into_actor(self).map(move |(names, ok), act, ctx| {
+                    let wait = if ok { 0 } else { CLOUD_RETRY_MS };
+                    act.tell(token, Event::Returned { names, ok }, wait, ctx);
+                }));
+            }
+            Errand::List { token } => {
+                let work = async move { list(&client, &base).await };
+                ctx.spawn(work.into_actor(self).map(move |listed, act, ctx| {
+                    if let Some(listed) = listed {
+                        act.tell(token, Event::Listed(listed), 0, ctx);
+                    }
+                }));
+            }
+        }
+    }
+
+    fn tell(&self, token: u64, event: Event, wait_ms: u64, ctx: &mut Context<Self>) {
+        let Some(c) = &self.customers else { return };
+        if wait_ms == 0 {
+            c.leader.do_send(Came { token, event });
+            return;
+        }
+        let leader = c.leader.clone();
+        ctx.run_later(Duration::from_millis(wait_ms), move |_, _| {
+            leader.do_send(Came { token, event });
+        });
+    }
+
+    fn have_types(&mut self, types: Vec<MachineType>) {
+        if !self.typed {
+            tracing::info!("{} machine types known", types.len());
+        }
+        self.typed = true;
+        if let Some(c) = &self.customers {
+            c.intake.do_send(Types(types.clone()));
+            c.leader.do_send(Types(types));
+        }
+    }
+}
+
+async fn types(client: &awc::Client, base: &str) -> Option<Vec<MachineType>> {
+    let sent = client.get(format!("{base}/machine_types")).timeout(CLOUD_TIMEOUT).send();
+    let (status, body) = finish(sent).await.ok()?;
+    if status.as_u16() != 200 {
+        return None;
+    }
+    let answer: TypesAnswer = serde_json::from_slice(&body)
+        .map_err(|e| tracing::error!("the machine types are garbled: {e}"))
+        .ok()?;
+    Some(answer.types.into_iter().map(MachineType::from).collect())
+}
+
+async fn rent(
+    client: &awc::Client,
+    base: &str,
+    hire: &str,
+    offer: &Offer,
+    number: u32,
+) -> HireOutcome {
+    let body = RentRequest {
+        request: hire,
+        kind: &offer.kind,
+        zone: &offer.zone,
+        spot: offer.spot,
+        number,
+    };
+    let sent = client.post(format!("{base}/rentals")).timeout(CLOUD_TIMEOUT).send_json(&body);
+    match finish(sent).await {
+        Err(CallError::NotSent) => HireOutcome::NotDone,
+        Err(CallError::Lost) => HireOutcome::Lost,
+        Ok((status, body)) => match status.as_u16() {
+            200 => match serde_json::from_slice::<Names>(&body) {
+                Ok(n) => HireOutcome::Machines(n.machines),
+                Err(_) => HireOutcome::Lost,
+            },
+            503 => {
+                let e: ErrorAnswer = serde_json::from_slice(&body).unwrap_or_default();
+                if e.error == "no capacity" {
+                    HireOutcome::NoCapacity
+                } else {
+                    HireOutcome::NotDone
+                }
+            }
+            429 => HireOutcome::NotDone,
+            other => {
+                tracing::error!("the cloud refused a rental with {other}");
+                HireOutcome::NoCapacity
+            }
+        },
+    }
+}
+
+async fn delete(client: &awc::Client, base: &str, names: &[String]) -> bool {
+    let body = Names { machines: names.to_vec() };
+    let sent =
+        client.post(format!("{base}/rentals/delete")).timeout(CLOUD_TIMEOUT).send_json(&body);
+    matches!(finish(sent).await, Ok((status, _)) if status.as_u16() == 200)
+}
+
+async fn list(client: &awc::Client, base: &str) -> Option<Vec<Listed>> {
+    let mut out: Vec<Listed> = Vec::new();
+    loop {
+        let from = out.last().map(|l| format!("&from={}", l.name)).unwrap_or_default();
+        let url = format!("{base}/rentals?most={LIST_PAGE}{from}");
+        let sent = client.get(url).timeout(CLOUD_TIMEOUT).send();
+        let (status, body) = finish(sent).await.ok()?;
+        if status.as_u16() != 200 {
+            return None;
+        }
+        let page: ListAnswer = serde_json::from_slice(&body).ok()?;
+        let more = page.truncated.unwrap_or(false) && !page.machines.is_empty();
+        out.extend(page.machines.into_iter().map(Listed::from));
+        if !more {
+            return Some(out);
+        }
+    }
+}
+
+impl Actor for Cloud {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(MAILBOX);
+    }
+}
+
+impl Handler<Customers> for Cloud {
+    type Result = ();
+    fn handle(&mut self, msg: Customers, ctx: &mut Self::Context) {
+        self.customers = Some(msg);
+        ctx.address().do_send(Errand::Types);
+    }
+}
+
+impl Handler<Errand> for Cloud {
+    type Result = ();
+    fn handle(&mut self, msg: Errand, ctx: &mut Self::Context) {
+        match msg {
+            Errand::Return { token, mut names } => {
+                // Deletes that wait for their turn go in one call.
+                let waiting = self.queue.iter_mut().find_map(|e| match e {
+                    Errand::Return { token: t, names: n }
+                        if *t == token && n.len() + names.len() <= DELETE_MOST =>
+                    {
+                        Some(n)
+                    }
+                    _ => None,
+                });
+                match waiting {
+                    Some(n) => n.append(&mut names),
+                    None => {
+                        for part in names.chunks(DELETE_MOST) {
+                            let names = part.to_vec();
+                            self.queue.push_back(Errand::Return { token, names });
+                        }
+                    }
+                }
+            }
+            other => self.queue.push_back(other),
+        }
+        self.pump(ctx);
+    }
+}
--- /dev/null
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -0,0 +1,539 @@
+//! Drives the core while this node is in office: events in, effects out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::prelude::*;
+use latchtrack_core::bitmap::Bitmap;
+use latchtrack_core::job::{JobId, JobSpec};
+use latchtrack_core::leader::{
+    CallOutcome, Cluster, Effect, Event, Policy, SaveOutcome, StoredMachine, Write,
+};
+use latchtrack_core::machine::{Command, MachineType, Report};
+use serde_json::value::to_raw_value;
+
+use super::cloud::{Cloud, Errand};
+use super::election::{Deposed, Election, Resign};
+use super::intake::Types;
+use super::job_cache::{Counts, JobCache, Learn, OpenJob, OpenJobs};
+use super::peers::{Peers, Tell};
+use super::store::{self, Ask, Class, Reply, Store};
+use crate::clock::now_ms;
+use crate::constants::*;
+use crate::net::{finish, http_client, CallError};
+use crate::settings::Settings;
+use crate::wire::peers::Frame;
+use crate::wire::records::*;
+use crate::wire::store::{Change, Condition, Txn};
+use crate::wire::workers::{parse_report, Call, CommandDto};
+
+/// The token of this node's term and until when it surely stands; None out of office.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Office(pub Option<(u64, u64)>);
+
+/// A job record of the mirror.
+#[derive(Debug, Clone)]
+pub enum JobChange {
+    Open(Arc<JobSpec>, u64, u64),
+    Closed(JobId),
+}
+
+/// The mirror has taken in a look that was sent at `sent_at` (0: a write of our own).
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Advanced {
+    pub sent_at: u64,
+    pub changes: Vec<JobChange>,
+    pub leader: Option<String>,
+}
+
+/// A worker's report.
+#[derive(Message)]
+#[rtype(result = "Answer")]
+pub struct WorkerReport(pub Report);
+
+/// What a worker is told.
+#[derive(Debug, MessageResponse)]
+pub enum Answer {
+    Orders {
+        token: u64,
+        commands: Vec<Command>,
+    },
+    /// Another node leads, this one if it is known.
+    Elsewhere(Option<String>),
+    /// This node leads but may not act now.
+    NotNow,
+}
+
+/// What came of an errand to the cloud, in the term of this token.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Came {
+    pub token: u64,
+    pub event: Event,
+}
+
+struct Picture {
+    jobs: Vec<OpenJob>,
+    machines: Vec<StoredMachine>,
+    results: Vec<(JobId, u32, Vec<u8>)>,
+}
+
+pub struct Leader {
+    store: Addr<Store>,
+    cache: Addr<JobCache>,
+    cloud: Addr<Cloud>,
+    peers: Addr<Peers>,
+    election: Option<Addr<Election>>,
+    client: awc::Client,
+    node: String,
+    policy: Policy,
+    txn_ops: usize,
+    ttl_ms: u64,
+    types: Vec<MachineType>,
+    office: Option<(u64, u64)>,
+    cluster: Option<Cluster>,
+    building: bool,
+    /// Changes of the mirror that came while the picture was being read.
+    meanwhile: Vec<JobChange>,
+    fresh_at: u64,
+    leader_name: Option<String>,
+    saving: bool,
+    want_save: bool,
+    last_list: u64,
+    last_progress: u64,
+}
+
+/// Where the election is, once it has been started.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct ElectionAt(pub Addr<Election>);
+
+impl Leader {
+    pub fn new(
+        store: Addr<Store>,
+        cache: Addr<JobCache>,
+        cloud: Addr<Cloud>,
+        peers: Addr<Peers>,
+        settings: &Settings,
+    ) -> Self {
+        Leader {
+            store,
+            cache,
+            cloud,
+            peers,
+            election: None,
+            client: http_client(64),
+            node: settings.platform.node_name.clone(),
+            policy: settings.policy(),
+            txn_ops: settings.platform.params.state.txn_ops,
+            ttl_ms: settings.leader_ttl_ms(),
+            types: Vec::new(),
+            office: None,
+            cluster: None,
+            building: false,
+            meanwhile: Vec::new(),
+            fresh_at: 0,
+            leader_name: None,
+            saving: false,
+            want_save: false,
+            last_list: 0,
+            last_progress: 0,
+        }
+    }
+
+    /// Whether commands may be given now: in office by the local clock, and with a view of the
+    /// jobs that is not older than the lease, so that cancellations are seen in time.
+    fn may_act(&self) -> bool {
+        let now = now_ms();
+        self.cluster.is_some()
+            && self.office.is_some_and(|(_, until)| now < until)
+            && now < self.fresh_at + self.ttl_ms
+    }
+
+    fn token(&self) -> u64 {
+        self.office.map_or(0, |(token, _)| token)
+    }
+
+    /// Hands an event to the core and carries out what it wants; returns a report's answer.
+    fn drive(&mut self, event: Event, ctx: &mut Context<Self>) -> Option<Vec<Command>> {
+        let effects = self.cluster.as_mut()?.handle(now_ms(), event);
+        let mut answer = None;
+        for effect in effects {
+            match effect {
+                Effect::Answer(commands) => answer = Some(commands),
+                Effect::Call { machine, addr, session, call, commands } => {
+                    self.call(machine, addr, session, call, &commands, ctx);
+                }
+                Effect::Hire { hire, offer, number } => {
+                    let token = self.token();
+                    self.cloud.do_send(Errand::Hire { token, hire, offer, number });
+                }
+                Effect::Return(names) => {
+                    self.cloud.do_send(Errand::Return { token: self.token(), names });
+                }
+                Effect::Save => self.save(ctx),
+                Effect::Resign(why) => {
+                    if let Some(e) = &self.election {
+                        e.do_send(Resign(why));
+                    }
+                }
+                Effect::Note(text) => tracing::info!("{text}"),
+            }
+        }
+        answer
+    }
+
+    fn call(
+        &self,
+        machine: String,
+        addr: String,
+        session: u64,
+        call: u64,
+        commands: &[Command],
+        ctx: &mut Context<Self>,
+    ) {
+        let token = self.token();
+        let commands = commands.iter().map(CommandDto::from).collect();
+        let body = Call { token, session, commands };
+        let sent =
+            self.client.post(format!("http://{addr}/do")).timeout(CALL_TIMEOUT).send_json(&body);
+        ctx.spawn(finish(sent).into_actor(self).map(move |result, act, ctx| {
+            let outcome = match result {
+                Ok((status, body)) => match (status.as_u16(), parse_report(&body)) {
+                    (200, Ok(report)) => CallOutcome::Done(report),
+                    (409, Ok(report)) => CallOutcome::Refused(report),
+                    _ => CallOutcome::Lost,
+                },
+                Err(CallError::NotSent) => CallOutcome::NotSent,
+                Err(CallError::Lost) => CallOutcome::Lost,
+            };
+            // An answer to a call of an earlier term tells this one nothing in its own terms.
+            if act.token() == token && act.may_act() {
+                act.drive(Event::Called { machine, call, outcome }, ctx);
+            } else if act.token() == token {
+                // Out of time just now: what was answered is taken for lost.
+                let outcome = CallOutcome::Lost;
+                act.drive(Event::Called { machine, call, outcome }, ctx);
+            }
+        }));
+    }
+
+    /// One write a round, with everything that has changed meanwhile.
+    fn save(&mut self, ctx: &mut Context<Self>) {
+        if self.saving {
+            self.want_save = true;
+            return;
+        }
+        self.want_save = false;
+        let Some(cluster) = self.cluster.as_mut() else { return };
+        let writes = cluster.next_writes(self.txn_ops);
+        if writes.is_empty() {
+            return;
+        }
+        self.saving = true;
+        let token = self.token();
+        let txn = transaction(token, &writes);
+        let store = self.store.clone();
+        let work = async move {
+            let Some(txn) = txn else { return Err(store::StoreError::NotExecuted("no record")) };
+            store::ask(&store, Class::Progress, Ask::Txn(txn), 10_000).await
+        };
+        ctx.spawn(work.into_actor(self).map(move |result, act, ctx| {
+            act.saving = false;
+            if act.token() != token || act.cluster.is_none() {
+                return;
+            }
+            let outcome = match result.map(|a| a.reply) {
+                Ok(Reply::Applied(stamp)) => {
+                    for w in &writes {
+                        if let Write::Done { job, tasks, .. } = w {
+                            let record = Record::Done { tasks: *tasks };
+                            act.cache.do_send(Learn { id: *job, record, stamp });
+                        }
+                    }
+                    SaveOutcome::Ok
+                }
+                Ok(Reply::Failed(keys)) => {
+                    if keys.iter().any(|k| k == LEADER) {
+                        if let Some(e) = &act.election {
+                            e.do_send(Deposed(token));
+                        }
+                    }
+                    SaveOutcome::Conflict(
+                        keys.iter().filter_map(|k| k.strip_prefix(JOBS)?.parse().ok()).collect(),
+                    )
+                }
+                Ok(_) => SaveOutcome::Failed,
+                Err(e) => {
+                    tracing::debug!("a write of the leader failed: {e}");
+                    SaveOutcome::Failed
+                }
+            };
+            let failed = outcome == SaveOutcome::Failed;
+            let again = act.want_save;
+            // `Saved` itself asks for the next write if there is one.
+            if failed {
+                act.saving = true;
+                ctx.run_later(Duration::from_millis(SYNC_RETRY_MS), move |act, ctx| {
+                    act.saving = false;
+                    if act.token() == token {
+                        act.drive(Event::Saved { writes, outcome }, ctx);
+                    }
+                });
+            } else {
+                act.drive(Event::Saved { writes, outcome }, ctx);
+                if again {
+                    act.save(ctx);
+                }
+            }
+        }));
+    }
+
+    /// Reads the picture that the stored state gives.
+    fn build(&mut self, ctx: &mut Context<Self>) {
+        if self.building || self.types.is_empty() || self.cluster.is_some() {
+            return;
+        }
+        let Some((token, _)) = self.office else { return };
+        self.building = true;
+        self.meanwhile.clear();
+        let (store, cache) = (self.store.clone(), self.cache.clone());
+        let work = async move { read_picture(&store, &cache).await };
+        ctx.spawn(work.into_actor(self).map(move |picture, act, ctx| {
+            act.building = false;
+            if act.token() != token {
+                act.build(ctx);
+                return;
+            }
+            let Some(picture) = picture else {
+                ctx.run_later(Duration::from_millis(SYNC_RETRY_MS), |act, ctx| act.build(ctx));
+                return;
+            };
+            act.start_term(token, picture, ctx);
+        }));
+    }
+
+    fn start_term(&mut self, token: u64, picture: Picture, ctx: &mut Context<Self>) {
+        let now = now_ms();
+        tracing::info!(
+            "picture read: {} jobs open, {} machines to settle",
+            picture.jobs.len(),
+            picture.machines.len()
+        );
+        let types = self.types.clone();
+        self.cluster = Some(Cluster::new(self.policy.clone(), token, types, picture.machines, now));
+        for (spec, submitted_ms, stamp) in picture.jobs {
+            let mut done = None;
+            for (_, chunk, bytes) in picture.results.iter().filter(|(id, ..)| *id == spec.id) {
+                done.get_or_insert_with(|| Bitmap::new(spec.tasks)).merge_chunk(*chunk, bytes);
+            }
+            self.drive(Event::Job { spec, submitted_ms, stamp, done }, ctx);
+        }
+        for change in std::mem::take(&mut self.meanwhile) {
+            self.change(change, ctx);
+        }
+        self.cloud.do_send(Errand::List { token });
+        self.last_list = now;
+        self.drive(Event::Tick, ctx);
+    }
+
+    fn change(&mut self, change: JobChange, ctx: &mut Context<Self>) {
+        let event = match change {
+            JobChange::Open(spec, submitted_ms, stamp) => {
+                Event::Job { spec, submitted_ms, stamp, done: None }
+            }
+            JobChange::Closed(id) => Event::Closed(id),
+        };
+        self.drive(event, ctx);
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        if !self.may_act() {
+            return;
+        }
+        let now = now_ms();
+        self.drive(Event::Tick, ctx);
+        if now >= self.last_list + LIST_MS {
+            self.last_list = now;
+            self.cloud.do_send(Errand::List { token: self.token() });
+        }
+        if now >= self.last_progress + PROGRESS_MS {
+            self.last_progress = now;
+            if let Some(c) = &self.cluster {
+                let jobs: Vec<(u64, u32, u32)> = c
+                    .progress()
+                    .filter(|(_, done, running)| done + running > 0)
+                    .take(PROGRESS_JOBS)
+                    .map(|(id, done, running)| (id.0, done, running))
+                    .collect();
+                self.cache.do_send(Counts(jobs.clone()));
+                self.peers.do_send(Tell(Frame::Progress { token: c.token(), jobs }));
+                let (up, unsettled, waiting) = c.counts();
+                tracing::debug!("{up} machines up, {unsettled} unsettled, {waiting} tasks wait");
+            }
+        }
+    }
+}
+
+/// The transaction of a batch: fenced by the leader key, and for a job that becomes done by the
+/// stamp of its record, which a cancellation would have changed.
+fn transaction(token: u64, writes: &[Write]) -> Option<Txn> {
+    let mut conditions = vec![Condition { key: LEADER.into(), version: token }];
+    let mut changes = Vec::new();
+    let put = |key, value| Change::Put { key, value, lease: None };
+    for w in writes {
+        match w {
+            Write::Machine(m) => {
+                let value = to_raw_value(&MachineRecord::of(m)).ok()?;
+                changes.push(put(machine_key(&m.name), value));
+            }
+            Write::DropMachine(name) => changes.push(Change::Delete { key: machine_key(name) }),
+            Write::Progress { job, chunk, bytes } => {
+                let value = to_raw_value(&encode_results(bytes)).ok()?;
+                changes.push(put(results_key(*job, *chunk), value));
+            }
+            Write::Done { job, stamp, tasks, drop_chunks } => {
+                conditions.push(Condition { key: job_key(*job), version: *stamp });
+                let value = Record::Done { tasks: *tasks }.to_json().ok()?;
+                changes.push(put(job_key(*job), value));
+                for chunk in drop_chunks {
+                    changes.push(Change::Delete { key: results_key(*job, *chunk) });
+                }
+            }
+        }
+    }
+    Some(Txn { conditions, changes })
+}
+
+/// Reads open jobs, results and machine set; None if the state service can't be asked. All of it
+/// is as new as this term, since an earlier leader's writes are fenced.
+async fn read_picture(store: &Addr<Store>, cache: &Addr<JobCache>) -> Option<Picture> {
+    let (fleet, _) = store::read_all(store, FLEET).await.ok()?;
+    let (chunks, _) = store::read_all(store, RESULTS).await.ok()?;
+    let jobs = cache.send(OpenJobs).await.ok()?.ok()?;
+    let mut machines = Vec::new();
+    for item in fleet {
+        let Some(name) = item.key.strip_prefix(FLEET) else { continue };
+        match serde_json::from_str::<MachineRecord>(item.value.get()) {
+            Ok(m) => machines.push(m.into_stored(name)),
+            // Still a machine that tasks may be on: it will be deleted as silent.
+            Err(e) => {
+                tracing::error!("the record of machine {name} is garbled: {e}");
+                machines.push(MachineRecord::unknown().into_stored(name));
+            }
+        }
+    }
+    let mut results = Vec::new();
+    for item in chunks {
+        match decode_results(&item.key, item.value.get()) {
+            Some(r) => results.push(r),
+            // Its tasks run again; their results were kept by nobody else.
+            None => tracing::error!("the results under {} are garbled", item.key),
+        }
+    }
+    Some(Picture { jobs, machines, results })
+}
+
+impl Actor for Leader {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(MAILBOX);
+        ctx.run_interval(Duration::from_millis(TICK_MS), |act, ctx| act.tick(ctx));
+    }
+}
+
+impl Handler<ElectionAt> for Leader {
+    type Result = ();
+    fn handle(&mut self, msg: ElectionAt, _: &mut Self::Context) {
+        self.election = Some(msg.0);
+    }
+}
+
+impl Handler<Office> for Leader {
+    type Result = ();
+    fn handle(&mut self, msg: Office, ctx: &mut Self::Context) {
+        if self.office.map(|o| o.0) != msg.0.map(|o| o.0) {
+            // Another term: everything is rebuilt.
+            self.cluster = None;
+            self.want_save = false;
+        }
+        self.office = msg.0;
+        self.build(ctx);
+    }
+}
+
+impl Handler<Types> for Leader {
+    type Result = ();
+    fn handle(&mut self, msg: Types, ctx: &mut Self::Context) {
+        self.types = msg.0.clone();
+        self.drive(Event::Types(msg.0), ctx);
+        self.build(ctx);
+    }
+}
+
+impl Handler<Advanced> for Leader {
+    type Result = ();
+    fn handle(&mut self, msg: Advanced, ctx: &mut Self::Context) {
+        self.fresh_at = self.fresh_at.max(msg.sent_at);
+        self.leader_name = msg.leader;
+        if self.building {
+            self.meanwhile.extend(msg.changes);
+            return;
+        }
+        let any = !msg.changes.is_empty();
+        for change in msg.changes {
+            self.change(change, ctx);
+        }
+        if any && self.may_act() {
+            self.drive(Event::Tick, ctx);
+        }
+    }
+}
+
+impl Handler<WorkerReport> for Leader {
+    type Result = Answer;
+    fn handle(&mut self, msg: WorkerReport, ctx: &mut Self::Context) -> Answer {
+        if self.office.is_none() {
+            let other = self.leader_name.clone().filter(|n| *n != self.node);
+            return Answer::Elsewhere(other);
+        }
+        if !self.may_act() {
+            return Answer::NotNow;
+        }
+        let token = self.token();
+        match self.drive(Event::Report(msg.0), ctx) {
+            Some(commands) => Answer::Orders { token, commands },
+            None => Answer::NotNow,
+        }
+    }
+}
+
+impl Handler<Came> for Leader {
+    type Result = ();
+    fn handle(&mut self, msg: Came, ctx: &mut Self::Context) {
+        if msg.token == self.token() {
+            self.drive(msg.event, ctx);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_write_of_the_leader_is_fenced() {
+        let writes = vec![
+            Write::DropMachine("n-1".into()),
+            Write::Done { job: JobId(5), stamp: 9, tasks: 2, drop_chunks: vec![0] },
+        ];
+        let txn = transaction(41, &writes).unwrap();
+        let fences: Vec<(&str, u64)> =
+            txn.conditions.iter().map(|c| (c.key.as_str(), c.version)).collect();
+        assert_eq!(fences, [(LEADER, 41), ("live/job/req-000005", 9)]);
+        assert_eq!(txn.changes.len(), 3);
+    }
+}
--- /dev/null
+++ b/crates/latchtrack/src/cli.rs
@@ -0,0 +1,31 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+
+/// A cluster scheduler for cloud machines that come and go.
+#[derive(Parser, Debug)]
+#[command(version, about, arg_required_else_help = true)]
+pub struct Cli {
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Subcommand, Debug)]
+pub enum Command {
+    /// Run one node of the service until it is killed
+    Serve(Files),
+    /// Check the settings and print them as they take effect
+    Check(Files),
+}
+
+#[derive(Args, Debug)]
+pub struct Files {
+    /// The platform's settings (JSON)
+    #[arg(long, value_name = "FILE")]
+    pub config: PathBuf,
+    /// The operators' own settings (YAML)
+    #[arg(long, value_name = "FILE")]
+    pub operator: Option<PathBuf>,
+}
--- /dev/null
+++ b/crates/latchtrack/src/constants.rs
@@ -0,0 +1,95 @@
+//! Every constant of the program round the core, each with its unit and its reason. Most are
+//! defaults of the operators' settings.
+
+use std::time::Duration;
+
+/// ms the leader's lease in the state service lasts. Long enough for a slow answer and two lost
+/// renewals, short enough that a crashed leader is followed within seconds.
+pub const LEADER_TTL_MS: u64 = 5_000;
+/// Part of the lease after which it is renewed.
+pub const RENEW_PART: u64 = 4;
+/// ms taken off the lease's local end: clock drift (0.05%) and the time of acting itself.
+pub const LEASE_GUARD_MS: u64 = 250;
+/// ms after a failed renewal or campaign before the next try.
+pub const ELECTION_RETRY_MS: u64 = 300;
+/// ms of random wait before a campaign, so that nodes do not all write at once.
+pub const CAMPAIGN_JITTER_MS: u64 = 120;
+/// ms a node that resigned leaves the office to others.
+pub const RESIGNED_MS: u64 = 20_000;
+
+/// ms between two looks at the state service while leading: a submission waits this long at most
+/// before it is placed.
+pub const SYNC_LEADING_MS: u64 = 100;
+/// ms between two looks while following: the leader key is in the mirror too.
+pub const SYNC_FOLLOWING_MS: u64 = 250;
+/// ms between two looks that polls wait for.
+pub const SYNC_WANTED_MS: u64 = 40;
+/// ms after a failed look.
+pub const SYNC_RETRY_MS: u64 = 250;
+/// Polls that may wait for one look; more are refused.
+pub const SYNC_WAITERS: usize = 2_000;
+
+/// A read of the state service: users wait 2 s for a poll.
+pub const READ_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// A write of the state service: users wait 5 s for a submission.
+pub const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// A renewal; two fit into a lease.
+pub const RENEW_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Connecting to anything: region and zones are milliseconds apart.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A call of the cloud, which answers in about 0.1 s; a lost packet is sent again within 1 s.
+pub const CLOUD_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// A direct call of a worker.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Calls of the state service open at once.
+pub const STORE_OPEN: usize = 12;
+/// Requests that may wait for their turn at the state service, for each class.
+pub const STORE_QUEUE: usize = 256;
+/// Part of the limits left unused: our clock and the service's may differ in what a second is.
+pub const LIMIT_USED: f64 = 0.9;
+/// Bytes of one transaction that we fill (the service takes 64 KiB).
+pub const TXN_BYTES: usize = 48 * 1024;
+/// Bytes of the largest answer that we read: a page is 512 KiB, a watch has no bound.
+pub const ANSWER_BYTES: usize = 8 << 20;
+
+/// Submissions and withdrawals that may wait at a node; more get 503 at once.
+pub const INTAKE_QUEUE: usize = 400;
+/// ms a submission may wait at a node before it gets 503.
+pub const INTAKE_WAIT_MS: u64 = 3_000;
+/// Times a cancellation tries again when somebody else changed the record.
+pub const CANCEL_TRIES: usize = 5;
+
+/// ms between two ticks of the leader.
+pub const TICK_MS: u64 = 200;
+/// ms between two looks at the cloud's list, which shows orphans and failed machines.
+pub const LIST_MS: u64 = 20_000;
+/// ms between two reads of the types and prices.
+pub const TYPES_MS: u64 = 60_000;
+/// ms after a failed call of the cloud.
+pub const CLOUD_RETRY_MS: u64 = 1_000;
+/// Names in one delete (the cloud's own bound).
+pub const DELETE_MOST: usize = 100;
+/// Machines in one page of the list (the cloud's own bound).
+pub const LIST_PAGE: usize = 500;
+
+/// ms between two messages about running counts to the other nodes.
+pub const PROGRESS_MS: u64 = 1_000;
+/// Jobs in one such message: the rest show as pending on followers.
+pub const PROGRESS_JOBS: usize = 4_000;
+/// Bytes of the largest frame between nodes.
+pub const FRAME_BYTES: usize = 256 * 1024;
+/// Frames waiting for a node; more are dropped, since the next says the same.
+pub const PEER_QUEUE: usize = 4;
+
+/// Bytes of the largest request body (the protocol's bound).
+pub const BODY_BYTES: usize = 64 * 1024;
+/// Part of the node's sockets that users and workers may fill; the rest is for our own calls.
+pub const SOCKETS_USED: f64 = 0.75;
+/// s an idle connection is kept; users poll every 5 s.
+pub const KEEP_ALIVE_S: u64 = 60;
+/// s a user is asked to wait when the node cannot answer.
+pub const RETRY_AFTER_S: u64 = 1;
+/// Most characters of a name in a submission.
+pub const NAME_CHARS: usize = 200;
+/// Messages an actor's mailbox holds.
+pub const MAILBOX: usize = 1_024;
--- /dev/null
+++ b/crates/latchtrack/src/http/users.rs
@@ -0,0 +1,109 @@
+//! Submit, query, withdraw, ready.
+
+use actix_web::http::StatusCode;
+use actix_web::{web, HttpResponse};
+use latchtrack_core::job::JobId;
+
+use super::{body, later, refuse, Desk};
+use crate::actors::intake::{Able, Submit, Submitted, Withdraw, Withdrawn};
+use crate::actors::job_cache::{Loaded, Look, View};
+use crate::wire::records::Record;
+use crate::wire::users::{parse_id, parse_job, JobAnswer, State};
+
+fn state(view: &View) -> State {
+    match view.record {
+        Record::Done { .. } => State::Done,
+        Record::Cancelled { .. } => State::Cancelled,
+        Record::Open { .. } if view.running > 0 => State::Running,
+        Record::Open { .. } => State::Queued,
+    }
+}
+
+/// Looks a job up; Err is the answer when the state service can't be asked.
+async fn look(desk: &Desk, id: JobId, fresh: bool) -> Result<Option<View>, HttpResponse> {
+    match desk.cache.send(Look { id, fresh }).await {
+        Ok(Ok(view)) => Ok(view),
+        _ => Err(later("the state service can't be asked")),
+    }
+}
+
+pub async fn submit(desk: web::Data<Desk>, payload: web::Payload) -> HttpResponse {
+    let bytes = match body(payload).await {
+        Ok(b) => b,
+        Err(answer) => return answer,
+    };
+    submit_body(&desk, &bytes).await.unwrap_or_else(|answer| answer)
+}
+
+async fn submit_body(desk: &Desk, bytes: &[u8]) -> Result<HttpResponse, HttpResponse> {
+    let (id, map) = match parse_id(bytes) {
+        Ok(parsed) => parsed,
+        Err(e) => return Err(refuse(StatusCode::BAD_REQUEST, &e.to_string())),
+    };
+    let known = |view: View| HttpResponse::Ok().json(JobAnswer::state(id, state(&view)));
+    // A known id is answered with its state, whatever else the body says.
+    if look(desk, id, false).await?.is_some() {
+        if let Some(view) = look(desk, id, true).await? {
+            return Ok(known(view));
+        }
+    }
+    let (status, why) = match parse_job(id, &map) {
+        Err(e) => (StatusCode::BAD_REQUEST, e.to_string()),
+        Ok(spec) => match desk.intake.send(Submit(spec)).await {
+            Ok(Submitted::Created) => {
+                return Ok(HttpResponse::Created().json(JobAnswer::state(id, State::Queued)));
+            }
+            Ok(Submitted::Exists) => {
+                return match look(desk, id, true).await? {
+                    Some(view) => Ok(known(view)),
+                    None => Err(later("the job is not readable yet")),
+                };
+            }
+            Ok(Submitted::Impossible(why)) => (StatusCode::UNPROCESSABLE_ENTITY, why),
+            Ok(Submitted::TooLarge(size, most)) => {
+                let e = crate::wire::users::BadSubmission::TooLarge(size, most);
+                (StatusCode::BAD_REQUEST, e.to_string())
+            }
+            Ok(Submitted::Busy(why)) => return Err(later(why)),
+            Err(_) => return Err(later("too many requests")),
+        },
+    };
+    // Refused only if no node has accepted it before.
+    match look(desk, id, true).await? {
+        Some(view) => Ok(known(view)),
+        None => Err(refuse(status, &why)),
+    }
+}
+
+pub async fn query(desk: web::Data<Desk>, id: web::Path<String>) -> HttpResponse {
+    let Ok(id) = id.parse::<JobId>() else {
+        return refuse(StatusCode::NOT_FOUND, "no such job");
+    };
+    match look(&desk, id, true).await {
+        Ok(Some(v)) => HttpResponse::Ok().json(JobAnswer::counts(id, state(&v), v.done, v.running)),
+        Ok(None) => refuse(StatusCode::NOT_FOUND, "no such job"),
+        Err(answer) => answer,
+    }
+}
+
+pub async fn withdraw(desk: web::Data<Desk>, id: web::Path<String>) -> HttpResponse {
+    let Ok(id) = id.parse::<JobId>() else {
+        return refuse(StatusCode::NOT_FOUND, "no such job");
+    };
+    match desk.intake.send(Withdraw(id)).await {
+        Ok(Withdrawn::Cancelled) => HttpResponse::Ok().json(JobAnswer::state(id, State::Cancelled)),
+        Ok(Withdrawn::Done) => HttpResponse::Ok().json(JobAnswer::state(id, State::Done)),
+        Ok(Withdrawn::Unknown) => refuse(StatusCode::NOT_FOUND, "no such job"),
+        _ => later("the state service does not answer"),
+    }
+}
+
+pub async fn ready(desk: web::Data<Desk>) -> HttpResponse {
+    let loaded = desk.cache.send(Loaded).await.unwrap_or(false);
+    let able = desk.intake.send(Able).await.unwrap_or(false);
+    if loaded && able {
+        HttpResponse::Ok().finish()
+    } else {
+        later("starting")
+    }
+}
--- /dev/null
+++ b/crates/latchtrack/src/node.rs
@@ -0,0 +1,47 @@
+//! One node: starts the actors and tells them of each other.
+
+use actix::prelude::*;
+use tokio::net::TcpListener;
+
+use crate::actors::cloud::{Cloud, Customers};
+use crate::actors::election::Election;
+use crate::actors::intake::Intake;
+use crate::actors::job_cache::{JobCache, Listeners};
+use crate::actors::leader::{ElectionAt, Leader};
+use crate::actors::peers::Peers;
+use crate::actors::store::Store;
+use crate::constants::SOCKETS_USED;
+use crate::http::{server, Desk};
+use crate::settings::Settings;
+
+/// Runs a node until the process ends.
+pub async fn run(settings: Settings) -> std::io::Result<()> {
+    let users = TcpListener::bind(settings.platform.bind).await?;
+    let peers = TcpListener::bind(settings.platform.peer_bind).await?;
+    serve(settings, users, peers).await;
+    Ok(())
+}
+
+/// The same on sockets that are bound already.
+pub async fn serve(settings: Settings, users: TcpListener, peers: TcpListener) {
+    tracing::info!("node {} serves", settings.platform.node_name);
+    let store = Store::new(&settings).start();
+    let cache = JobCache::new(store.clone()).start();
+    let cloud = Cloud::new(&settings).start();
+    let peers = Peers::new(&settings, peers, cache.clone()).start();
+    let intake = Intake::new(store.clone(), cache.clone(), &settings).start();
+    let leader = Leader::new(store.clone(), cache.clone(), cloud.clone(), peers, &settings).start();
+    let election = Election::new(
+        store,
+        cache.clone(),
+        leader.clone(),
+        settings.platform.node_name.clone(),
+        settings.leader_ttl_ms(),
+    )
+    .start();
+    leader.do_send(ElectionAt(election.clone()));
+    cache.do_send(Listeners { election, leader: leader.clone() });
+    cloud.do_send(Customers { intake: intake.clone(), leader: leader.clone() });
+    let sockets = settings.platform.params.limits.max_sockets as f64 * SOCKETS_USED;
+    server::serve(users, Desk { cache, intake, leader }, sockets as usize).await;
+}
--- /dev/null
+++ b/crates/latchtrack/src/settings.rs
@@ -0,0 +1,320 @@
+//! Settings: what the platform hands over (JSON) and what operators may tune (YAML).
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use latchtrack_core::constants as core;
+use latchtrack_core::leader::{Policy, Team};
+use latchtrack_core::placement::Weights;
+use serde::{Deserialize, Serialize};
+
+use crate::constants as c;
+
+/// Why the settings can't be used; one line that names the field.
+#[derive(Debug, thiserror::Error)]
+pub enum BadSettings {
+    #[error("{0}: {1}")]
+    Read(String, std::io::Error),
+    #[error("{0}: {1}")]
+    Json(String, serde_json::Error),
+    #[error("{0}: {1}")]
+    Yaml(String, serde_yaml_ng::Error),
+    #[error("{0}: {1}")]
+    Range(&'static str, String),
+}
+
+fn bad<T>(name: &'static str, why: impl Into<String>) -> Result<T, BadSettings> {
+    Err(BadSettings::Range(name, why.into()))
+}
+
+/// The platform's file. Fields that we do not know are ignored.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Platform {
+    pub node_name: String,
+    #[serde(rename = "domain")]
+    pub zone: String,
+    pub bind: SocketAddr,
+    pub peer_bind: SocketAddr,
+    #[serde(rename = "others")]
+    pub peers: Vec<Peer>,
+    #[serde(rename = "external")]
+    pub services: Services,
+    pub params: Params,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Peer {
+    pub node_name: String,
+    #[serde(rename = "endpoint")]
+    pub addr: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Params {
+    pub zones: Vec<String>,
+    pub teams: Vec<TeamParams>,
+    pub workers: Workers,
+    pub state: StateParams,
+    pub cloud: CloudParams,
+    #[serde(rename = "machine_limits")]
+    pub limits: Limits,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct TeamParams {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StateParams {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct CloudParams {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Limits {
+    pub cpu: f64,
+    pub mem_mb: f64,
+    pub max_sockets: usize,
+}
+
+/// The operators' file: every key optional, unknown keys refused.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tuning {
+    /// Weight of free cores in a machine's score; the weight of memory is what is left of 1.
+    pub alpha: f64,
+    /// Weight of free GPUs.
+    pub gamma: f64,
+    /// Tasks of a job that start together.
+    pub slice: u32,
+    /// s an empty machine is kept.
+    pub idle_wait_s: f64,
+    /// s a job may be passed over before smaller ones stop taking its room.
+    pub pass_over_s: f64,
+    /// s of silence after which a machine is given up.
+    pub silence_s: f64,
+    /// s a new leader waits for a machine of its predecessor.
+    pub settle_s: f64,
+    /// s the leader's lease lasts.
+    pub leader_lease_s: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        let s = |ms: u64| ms as f64 / 1000.0;
+        Tuning {
+            alpha: core::ALPHA,
+            gamma: core::GAMMA,
+            slice: core::SLICE,
+            idle_wait_s: s(core::IDLE_WAIT_MS),
+            pass_over_s: s(core::PASS_OVER_MS),
+            silence_s: s(core::SILENCE_MS),
+            settle_s: s(core::SETTLE_MS),
+            leader_lease_s: s(c::LEADER_TTL_MS),
+        }
+    }
+}
+
+/// Both files, checked.
+#[derive(Clone, Debug, Serialize)]
+pub struct Settings {
+    pub platform: Platform,
+    pub tuning: Tuning,
+}
+
+impl Settings {
+    /// Reads and checks both files.
+    pub fn load(config: &Path, operator: Option<&Path>) -> Result<Settings, BadSettings> {
+        let read = |path: &Path| {
+            std::fs::read_to_string(path)
+                .map_err(|e| BadSettings::Read(path.display().to_string(), e))
+        };
+        let platform = serde_json::from_str(&read(config)?)
+            .map_err(|e| BadSettings::Json(config.display().to_string(), e))?;
+        let tuning = match operator {
+            None => Tuning::default(),
+            Some(path) => parse_tuning(&read(path)?)
+                .map_err(|e| BadSettings::Yaml(path.display().to_string(), e))?,
+        };
+        let settings = Settings { platform, tuning };
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Refuses what makes no sense, by name.
+    pub fn check(&self) -> Result<(), BadSettings> {
+        let p = &self.platform.params;
+        if self.platform.node_name.is_empty() {
+            return bad("node_name", "is empty");
+        }
+        if p.teams.iter().any(|t| {
+            [t.cpus, t.cpus_max, t.gpus, t.gpus_max].iter().any(|n| !n.is_finite() || *n < 0.0)
+        }) {
+            return bad("params.teams", "amounts must be 0 or more");
+        }
+        let above = |name, value: f64, least: f64| {
+            if value.is_finite() && value >= least {
+                Ok(())
+            } else {
+                bad(name, format!("is {value}, must be at least {least}"))
+            }
+        };
+        above("params.workers.report_s", p.workers.report_s, 0.1)?;
+        above("params.workers.lease_s", p.workers.lease_s, 1.0)?;
+        above("params.workers.cancel_s", p.workers.cancel_s, 1.0)?;
+        above("params.state.rps", p.state.rps, 1.0)?;
+        above("params.state.write_rps", p.state.write_rps, 1.0)?;
+        above("params.state.value_kb", p.state.value_kb, 1.0)?;
+        above("params.state.txn_ops", p.state.txn_ops as f64, 1.0)?;
+        above("params.cloud.rps", p.cloud.rps, 0.1)?;
+        above("params.cloud.list_lag_s", p.cloud.list_lag_s, 0.0)?;
+        above("params.machine_limits.mem_mb", p.limits.mem_mb, 16.0)?;
+        above("params.machine_limits.max_sockets", p.limits.max_sockets as f64, 64.0)?;
+        let t = &self.tuning;
+        let within = |name, value: f64, from: f64, to: f64| {
+            if (from..=to).contains(&value) {
+                Ok(())
+            } else {
+                bad(name, format!("is {value}, must be from {from} to {to}"))
+            }
+        };
+        within("alpha", t.alpha, 0.0, 1.0)?;
+        within("gamma", t.gamma, 0.0, 100.0)?;
+        within("slice", f64::from(t.slice), 1.0, f64::from(core::TASKS_MOST))?;
+        within("idle_wait_s", t.idle_wait_s, 0.0, 86_400.0)?;
+        within("pass_over_s", t.pass_over_s, 0.0, 86_400.0)?;
+        within("silence_s", t.silence_s, 3.0 * p.workers.report_s, 3_600.0)?;
+        within("settle_s", t.settle_s, p.workers.report_s, 3_600.0)?;
+        within("leader_lease_s", t.leader_lease_s, 1.0, 600.0)?;
+        // A leader that can't see cancellations answers reports for its lease at most, and the
+        // tasks then run for the workers' lease at most.
+        let end = t.leader_lease_s + p.workers.lease_s * 1.001 + 0.5;
+        if end >= p.workers.cancel_s {
+            return bad(
+                "leader_lease_s",
+                format!(
+                    "leader_lease_s and the workers' lease_s end a cancelled task after {end} s, \
+                     params.workers.cancel_s allows {} s",
+                    p.workers.cancel_s
+                ),
+            );
+        }
+        Ok(())
+    }
+
+    /// What the core needs of them.
+    pub fn policy(&self) -> Policy {
+        let t = &self.tuning;
+        let ms = |s: f64| (s * 1000.0) as u64;
+        Policy {
+            weights: Weights { alpha: t.alpha, beta: 1.0 - t.alpha, gamma: t.gamma },
+            slice: t.slice,
+            idle_wait_ms: ms(t.idle_wait_s),
+            pass_over_ms: ms(t.pass_over_s),
+            silence_ms: ms(t.silence_s),
+            settle_ms: ms(t.settle_s),
+            lease_ms: ms(self.platform.params.workers.lease_s),
+            teams: self
+                .platform
+                .params
+                .teams
+                .iter()
+                .map(|t| Team {
+                    name: t.name.clone(),
+                    cpus: t.cpus,
+                    cpus_max: t.cpus_max,
+                    gpus: t.gpus,
+                    gpus_max: t.gpus_max,
+                })
+                .collect(),
+        }
+    }
+
+    pub fn leader_ttl_ms(&self) -> u64 {
+        (self.tuning.leader_lease_s * 1000.0) as u64
+    }
+
+    /// Nodes of the service, this one included.
+    pub fn nodes(&self) -> usize {
+        self.platform.peers.len() + 1
+    }
+}
+
+/// Reads the operators' YAML; an empty file changes nothing.
+pub fn parse_tuning(text: &str) -> Result<Tuning, serde_yaml_ng::Error> {
+    let tuning: Option<Tuning> = serde_yaml_ng::from_str(text)?;
+    Ok(tuning.unwrap_or_default())
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const SAMPLE: &str = r#"{"node_name":"one","domain":"a","bind":"127.0.0.1:0",
+        "peer_bind":"127.0.0.1:0","others":[],
+        "external":{"cloud":"127.0.0.1:1","state":"127.0.0.1:2"},"future":{"x":1},
+        "params":{"zones":["a"],"teams":[{"name":"t"}],
+        "workers":{"report_s":3.0,"lease_s":30.0,"cancel_s":60.0},
+        "state":{"rps":100.0,"write_rps":30.0,"value_kb":4.0,"txn_ops":8},
+        "cloud":{"rps":4.0,"list_lag_s":3.0},
+        "machine_limits":{"cpu":0.1,"mem_mb":64.0,"max_sockets":900}}}"#;
+
+    pub fn sample() -> Settings {
+        Settings { platform: serde_json::from_str(SAMPLE).unwrap(), tuning: Tuning::default() }
+    }
+
+    #[test]
+    fn refuses_by_name() {
+        sample().check().unwrap();
+        for (from, to, name) in [
+            ("\"cancel_s\":60.0", "\"cancel_s\":35.0", "leader_lease_s"),
+            ("\"rps\":100.0", "\"rps\":0.0", "params.state.rps"),
+            ("\"txn_ops\":8", "\"txn_ops\":0", "params.state.txn_ops"),
+            ("\"max_sockets\":900", "\"max_sockets\":3", "params.machine_limits.max_sockets"),
+        ] {
+            let mut s = sample();
+            s.platform = serde_json::from_str(&SAMPLE.replace(from, to)).unwrap();
+            let err = s.check().unwrap_err().to_string();
+            assert!(err.starts_with(name), "{err}");
+        }
+        let missing = SAMPLE.replace("\"zones\":[\"a\"],", "");
+        let err = serde_json::from_str::<Platform>(&missing).unwrap_err().to_string();
+        assert!(err.contains("zones"), "{err}");
+        let err = parse_tuning("alpha: 0.5\nalfa: 1").unwrap_err().to_string();
+        assert!(err.contains("alfa"), "{err}");
+        let mut s = sample();
+        s.tuning = parse_tuning("alpha: 1.5").unwrap();
+        assert!(s.check().unwrap_err().to_string().starts_with("alpha"));
+        assert_eq!(parse_tuning("").unwrap().slice, Tuning::default().slice);
+    }
+}
--- /dev/null
+++ b/crates/latchtrack/src/wire/workers.rs
@@ -0,0 +1,166 @@
+//! Messages between workers and nodes.
+
+use latchtrack_core::machine::{Cause, Command, Phase, Report, TaskReport};
+use serde::{Deserialize, Serialize};
+
+/// Why a report is of no use.
+#[derive(Debug, thiserror::Error)]
+pub enum BadReport {
+    #[error("not a report: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("task {0}: {1}")]
+    Task(String, &'static str),
+    #[error("{0} is out of range")]
+    Range(&'static str),
+}
+
+#[derive(Deserialize)]
+struct ReportDto {
+    host: String,
+    addr: String,
+    #[serde(rename = "build")]
+    kind: String,
+    #[serde(rename = "yard")]
+    zone: String,
+    #[serde(rename = "loaners", default)]
+    spot: Option<bool>,
+    #[serde(rename = "shift")]
+    session: u64,
+    #[serde(rename = "tally")]
+    seq: u64,
+    #[serde(rename = "baton", default)]
+    token: Option<u64>,
+    #[serde(rename = "recall_s", default)]
+    notice_s: Option<f64>,
+    #[serde(rename = "pieces", default)]
+    tasks: Option<Vec<TaskDto>>,
+}
+
+#[derive(Deserialize)]
+struct TaskDto {
+    #[serde(rename = "piece")]
+    task: String,
+    #[serde(rename = "try")]
+    attempt: u64,
+    status: String,
+    #[serde(default)]
+    cause: Option<String>,
+}
+
+/// Reads a report; also the body of a direct call's answer.
+pub fn parse_report(body: &[u8]) -> Result<Report, BadReport> {
+    let dto: ReportDto = serde_json::from_slice(body)?;
+    let mut tasks = Vec::new();
+    for t in dto.tasks.unwrap_or_default() {
+        let Ok(task) = t.task.parse() else { return Err(BadReport::Task(t.task, "no task id")) };
+        let phase = match (t.status.as_str(), t.cause.as_deref()) {
+            ("pulling", _) => Phase::Fetching,
+            ("running", _) => Phase::Running,
+            ("flushing", _) => Phase::Saving,
+            ("ended", Some("done")) => Phase::Ended(Cause::Done),
+            ("ended", Some("halted")) => Phase::Ended(Cause::Stopped),
+            ("ended", Some("error")) => Phase::Ended(Cause::Error),
+            ("ended", Some("no_room")) => Phase::Ended(Cause::NoRoom),
+            ("ended", Some("busy")) => Phase::Ended(Cause::Busy),
+            ("ended", Some("unknown")) => Phase::Ended(Cause::Unknown),
+            ("ended", _) => return Err(BadReport::Task(t.task, "unknown cause")),
+            _ => return Err(BadReport::Task(t.task, "unknown status")),
+        };
+        tasks.push(TaskReport { task, attempt: t.attempt, phase });
+    }
+    if dto.notice_s.is_some_and(|n| !n.is_finite()) {
+        return Err(BadReport::Range("recall_s"));
+    }
+    // Sessions start at 1; 0 stands for a machine that was never heard.
+    if dto.session == 0 {
+        return Err(BadReport::Range("shift"));
+    }
+    Ok(Report {
+        machine: dto.host,
+        addr: dto.addr,
+        kind: dto.kind,
+        zone: dto.zone,
+        spot: dto.spot.unwrap_or(false),
+        session: dto.session,
+        seq: dto.seq,
+        token: dto.token.unwrap_or(0),
+        notice_s: dto.notice_s,
+        tasks,
+    })
+}
+
+#[derive(Serialize)]
+pub struct CommandDto {
+    #[serde(rename = "verb")]
+    op: &'static str,
+    #[serde(rename = "piece")]
+    task: String,
+    #[serde(rename = "try")]
+    attempt: u64,
+    #[serde(rename = "wind_down_s", skip_serializing_if = "Option::is_none")]
+    grace_s: Option<f64>,
+}
+
+impl From<&Command> for CommandDto {
+    fn from(c: &Command) -> Self {
+        let (op, task, attempt, grace_s) = match c {
+            Command::Launch { task, attempt } => ("launch", task, attempt, None),
+            Command::Stop { task, attempt, grace_s } => ("stop", task, attempt, Some(*grace_s)),
+            Command::Forget { task, attempt } => ("forget", task, attempt, None),
+        };
+        CommandDto { op, task: task.to_string(), attempt: *attempt, grace_s }
+    }
+}
+
+/// The answer to a report.
+#[derive(Serialize)]
+pub struct Orders {
+    #[serde(rename = "baton")]
+    pub token: u64,
+    #[serde(rename = "orders")]
+    pub commands: Vec<CommandDto>,
+}
+
+/// A direct call.
+#[derive(Serialize)]
+pub struct Call {
+    #[serde(rename = "baton")]
+    pub token: u64,
+    #[serde(rename = "shift")]
+    pub session: u64,
+    #[serde(rename = "orders")]
+    pub commands: Vec<CommandDto>,
+}
+
+/// The answer of a node that is not the leader.
+#[derive(Serialize)]
+pub struct Elsewhere<'a> {
+    #[serde(rename = "foreman", skip_serializing_if = "Option::is_none")]
+    pub report_to: Option<&'a str>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reads_a_report_and_refuses_nonsense() {
+        let good = br#"{"host":"n-1","addr":"1.2.3.4:9","build":"g","yard":"a","loaners":true,
+            "shift":1,"tally":88,"baton":41,"recall_s":null,"extra":{},
+            "pieces":[{"piece":"req-000412/3","try":2,"status":"ended","cause":"done"}]}"#;
+        let r = parse_report(good).unwrap();
+        assert_eq!((r.session, r.seq, r.token, r.tasks.len()), (1, 88, 41, 1));
+        assert_eq!(r.tasks[0].phase, Phase::Ended(Cause::Done));
+        let text = String::from_utf8(good.to_vec()).unwrap();
+        for (from, to) in [
+            ("\"shift\":1", "\"shift\":-1"),
+            ("\"shift\":1", "\"shift\":0"),
+            ("req-000412/3", "req-000412"),
+            ("ended", "lost"),
+            ("\"done\"", "\"ended\""),
+            ("\"host\":\"n-1\",", ""),
+        ] {
+            assert!(parse_report(text.replace(from, to).as_bytes()).is_err(), "{from} -> {to}");
+        }
+    }
+}
