--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -16,6 +16,10 @@
 pub const IDLE_WAIT_MS: Millis = 20_000;
 /// ms a job may be passed over before smaller jobs stop taking its room.
 pub const PASS_OVER_MS: Millis = 10_000;
+/// ms a job finds no room before a spot machine is rented for it.
+pub const SPOT_AFTER_MS: Millis = 0;
+/// ms a job finds no room before an ordinary machine is rented for it: three times the price.
+pub const ORDINARY_AFTER_MS: Millis = 10_000;
 /// ms a (type, zone, kind) that had no machine is left alone.
 pub const EXHAUSTED_MS: Millis = 8_000;
 /// Rentals that may be open at once: more would only wait in line for the cloud's call rate.
--- a/crates/latchtrack-core/src/leader.rs
+++ b/crates/latchtrack-core/src/leader.rs
@@ -16,7 +16,7 @@
 use crate::constants::*;
 use crate::job::{Demand, Job, JobId, JobSpec, Place, TaskId};
 use crate::machine::*;
-use crate::placement::{self, Offer, Rank, Room, Weights};
+use crate::placement::{self, Offer, Rank, Room, Tier, Weights};
 use crate::rules;
 use crate::Millis;
 
@@ -27,11 +27,31 @@
     pub slice: u32,
     pub idle_wait_ms: Millis,
     pub pass_over_ms: Millis,
+    /// How long a job finds no room before a machine is rented for it: a spot one, an ordinary one.
+    pub spot_after_ms: Millis,
+    pub ordinary_after_ms: Millis,
     pub silence_ms: Millis,
     pub settle_ms: Millis,
     /// The workers' lease.
     pub lease_ms: Millis,
     pub teams: Vec<Team>,
+    /// What is aimed at for the classes.
+    pub aims: Vec<Aim>,
+}
+
+/// How soon the jobs of a class should be complete.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Aim {
+    pub class: String,
+    pub due: Due,
+}
+
+/// When a job is due, from its submission.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Due {
+    Within(Millis),
+    /// So many times its own deadline.
+    Times(f64),
 }
 
 /// A team's guarantee and limit; 0 is none.
@@ -1121,9 +1141,11 @@
                     let d = &j.spec.demand;
                     let demand =
                         placement::job_demand(d, waiting, &round.total, &self.policy.weights);
+                    let (tier, due) = self.due(now, j);
                     let rank = Rank {
                         guaranteed: u8::from(!guaranteed.contains(id)),
-                        deadline_ms: j.deadline_ms().unwrap_or(Millis::MAX),
+                        tier,
+                        due,
                         minus_demand: -demand,
                     };
                     (rank, *id)
@@ -1182,6 +1204,31 @@
         fits(&spec.demand, left(team.cpus_max, cpus), left(team.gpus_max, gpus), f64::INFINITY)
     }
 
+    /// In which tier of the queue a job stands, and when it is due on the local clock: jobs with
+    /// a deadline of their own first, then those whose class has an aim, each by the next that
+    /// can still be met; then the others; last those that have missed theirs, which can no longer
+    /// be late but would make others so.
+    fn due(&self, now: Millis, job: &Job) -> (Tier, Millis) {
+        let own = job.spec.deadline_s.map(|d| (d * 1000.0) as Millis);
+        let aims = self.policy.aims.iter().filter(|a| a.class == job.spec.class);
+        let mut dues: Vec<Millis> = aims
+            .filter_map(|a| match a.due {
+                Due::Within(ms) => Some(ms),
+                Due::Times(t) => own.map(|d| (d as f64 * t) as Millis),
+            })
+            .chain(own)
+            .collect();
+        if dues.is_empty() {
+            return (Tier::Regular, 0);
+        }
+        dues.retain(|ms| job.seen_at + ms > now);
+        match dues.iter().min() {
+            Some(ms) if own.is_some() => (Tier::Deadline, job.seen_at + ms),
+            Some(ms) => (Tier::Aim, job.seen_at + ms),
+            None => (Tier::Missed, 0),
+        }
+    }
+
     fn place_job(&mut self, now: Millis, id: JobId, round: &mut Round) {
         let Some(job) = self.jobs.get(&id) else { return };
         let spec = job.spec.clone();
@@ -1215,7 +1262,7 @@
             round.no_promise.insert(shape.clone());
         }
         if !round.no_offer.contains(&shape) {
-            left -= self.rent(now, &spec, left, round);
+            left -= self.rent(now, &spec, left, passed, round);
             if left == 0 {
                 return;
             }
@@ -1350,14 +1397,23 @@
     }
 
     /// Rents the first choice that is not known to be exhausted; returns for how many tasks.
-    fn rent(&mut self, now: Millis, spec: &JobSpec, left: u32, round: &mut Round) -> u32 {
+    fn rent(
+        &mut self,
+        now: Millis,
+        spec: &JobSpec,
+        left: u32,
+        passed: Millis,
+        round: &mut Round,
+    ) -> u32 {
         if self.hires.len() >= OPEN_HIRES {
             return 0;
         }
         let offers = placement::offers(spec, &self.types, self.rotate);
-        let Some(offer) =
-            offers.into_iter().find(|o| self.exhausted.get(o).is_none_or(|until| *until <= now))
-        else {
+        let policy = &self.policy;
+        let Some(offer) = offers.into_iter().find(|o| {
+            let wait = if o.spot { policy.spot_after_ms } else { policy.ordinary_after_ms };
+            passed >= wait && self.exhausted.get(o).is_none_or(|until| *until <= now)
+        }) else {
             return 0;
         };
         let Some(t) = self.type_of(&offer.kind).cloned() else { return 0 };
--- a/crates/latchtrack-core/src/placement.rs
+++ b/crates/latchtrack-core/src/placement.rs
@@ -80,14 +80,28 @@
         && spec.types.as_ref().is_none_or(|t| t.iter().any(|t| t == kind))
 }
 
+/// The parts of the queue, in their order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Tier {
+    /// With a deadline, or an aim multiplying it, that can still be met.
+    Deadline,
+    /// With an aim of its class that can still be met.
+    Aim,
+    /// With neither.
+    Regular,
+    /// Past all of its own.
+    Missed,
+}
+
 /// Where a job stands in the queue; smaller goes first.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub struct Rank {
     /// 0 within its team's guarantee.
     pub guaranteed: u8,
-    /// Deadline jobs first, the earliest deadline before the others (EDF).
-    pub deadline_ms: Millis,
-    /// Then falling demand.
+    pub tier: Tier,
+    /// Earliest first (EDF), where there is something to be late for.
+    pub due: Millis,
+    /// Otherwise by falling demand.
     pub minus_demand: f64,
 }
 
--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use latchtrack_core::constants as core;
-use latchtrack_core::leader::{Policy, Team};
+use latchtrack_core::leader::{Aim, Due, Policy, Team};
 use latchtrack_core::placement::Weights;
 use serde::{Deserialize, Serialize};
 
@@ -59,6 +59,8 @@
 pub struct Params {
     pub zones: Vec<String>,
     pub teams: Vec<TeamParams>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     pub workers: Workers,
     pub state: StateParams,
     pub cloud: CloudParams,
@@ -79,6 +81,29 @@
     pub gpus_max: f64,
 }
 
+/// An aim of the users; kinds that we do not know are ignored.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: String,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub times: Option<f64>,
+}
+
+impl Objective {
+    fn aim(&self) -> Option<Aim> {
+        let due = match (self.kind.as_str(), self.within_s, self.times) {
+            ("finished", Some(s), _) if s > 0.0 => Due::Within((s * 1000.0) as u64),
+            ("deadline", _, Some(t)) if t > 0.0 => Due::Times(t),
+            _ => return None,
+        };
+        Some(Aim { class: self.class.clone(), due })
+    }
+}
+
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Workers {
     pub report_s: f64,
@@ -121,6 +146,10 @@
     pub idle_wait_s: f64,
     /// s a job may be passed over before smaller ones stop taking its room.
     pub pass_over_s: f64,
+    /// s a job finds no room before a spot machine is rented for it.
+    pub spot_after_s: f64,
+    /// The same for an ordinary machine.
+    pub ordinary_after_s: f64,
     /// s of silence after which a machine is given up.
     pub silence_s: f64,
     /// s a new leader waits for a machine of its predecessor.
@@ -138,6 +167,8 @@
             slice: core::SLICE,
             idle_wait_s: s(core::IDLE_WAIT_MS),
             pass_over_s: s(core::PASS_OVER_MS),
+            spot_after_s: s(core::SPOT_AFTER_MS),
+            ordinary_after_s: s(core::ORDINARY_AFTER_MS),
             silence_s: s(core::SILENCE_MS),
             settle_s: s(core::SETTLE_MS),
             leader_lease_s: s(c::LEADER_TTL_MS),
@@ -213,6 +244,8 @@
         within("slice", f64::from(t.slice), 1.0, f64::from(core::TASKS_MOST))?;
         within("idle_wait_s", t.idle_wait_s, 0.0, 86_400.0)?;
         within("pass_over_s", t.pass_over_s, 0.0, 86_400.0)?;
+        within("spot_after_s", t.spot_after_s, 0.0, 3_600.0)?;
+        within("ordinary_after_s", t.ordinary_after_s, 0.0, 3_600.0)?;
         within("silence_s", t.silence_s, 3.0 * p.workers.report_s, 3_600.0)?;
         within("settle_s", t.settle_s, p.workers.report_s, 3_600.0)?;
         within("leader_lease_s", t.leader_lease_s, 1.0, 600.0)?;
@@ -241,9 +274,12 @@
             slice: t.slice,
             idle_wait_ms: ms(t.idle_wait_s),
             pass_over_ms: ms(t.pass_over_s),
+            spot_after_ms: ms(t.spot_after_s),
+            ordinary_after_ms: ms(t.ordinary_after_s),
             silence_ms: ms(t.silence_s),
             settle_ms: ms(t.settle_s),
             lease_ms: ms(self.platform.params.workers.lease_s),
+            aims: self.platform.params.objectives.iter().filter_map(Objective::aim).collect(),
             teams: self
                 .platform
                 .params
