--- a/crates/latchtrack-core/src/leader.rs
+++ b/crates/latchtrack-core/src/leader.rs
@@ -210,6 +210,20 @@
     Note(String),
 }
 
+/// Counts of the cluster.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Summary {
+    pub up: usize,
+    pub promised: usize,
+    pub unsettled: usize,
+    pub waiting: u64,
+    pub cpus: f64,
+    pub cpus_assigned: f64,
+    pub cpus_fetching: f64,
+    pub cpus_running: f64,
+    pub cpus_waiting: f64,
+}
+
 #[derive(Clone, Debug)]
 struct Hire {
     offer: Offer,
@@ -343,13 +357,33 @@
         })
     }
 
-    /// Machines up, machines not settled, waiting tasks: for the log and the metrics.
-    pub fn counts(&self) -> (usize, usize, u64) {
-        (
-            self.machines.values().filter(|m| m.up()).count(),
-            self.machines.values().filter(|m| m.unsettled).count(),
-            self.jobs.values().map(|j| u64::from(j.waiting())).sum(),
-        )
+    /// What the cluster looks like, for the log.
+    pub fn summary(&self) -> Summary {
+        let mut s = Summary::default();
+        for m in self.machines.values() {
+            s.unsettled += usize::from(m.unsettled);
+            if !m.up() {
+                s.promised += 1;
+                continue;
+            }
+            s.up += 1;
+            s.cpus += self.type_of(&m.kind).map_or(0.0, |t| t.cpus);
+            for run in m.runs.values() {
+                let cpus = run.spec.as_ref().map_or(0.0, |s| s.demand.cpus);
+                match run.phase {
+                    Phase::Assigned => s.cpus_assigned += cpus,
+                    Phase::Fetching => s.cpus_fetching += cpus,
+                    Phase::Running | Phase::Saving => s.cpus_running += cpus,
+                    Phase::Ended(_) => {}
+                }
+            }
+        }
+        for j in self.jobs.values() {
+            let waiting = j.waiting();
+            s.waiting += u64::from(waiting);
+            s.cpus_waiting += f64::from(waiting) * j.spec.demand.cpus;
+        }
+        s
     }
 
     /// The machines, for checks.
@@ -1221,10 +1255,13 @@
         if dues.is_empty() {
             return (Tier::Regular, 0);
         }
-        dues.retain(|ms| job.seen_at + ms > now);
+        // By the latest start that still meets it, as far as the owner's estimate can be trusted.
+        let run = (job.spec.estimate_s * 1000.0) as Millis;
+        let start = |ms: Millis| (job.seen_at + ms).saturating_sub(run);
+        dues.retain(|ms| start(*ms) > now);
         match dues.iter().min() {
-            Some(ms) if own.is_some() => (Tier::Deadline, job.seen_at + ms),
-            Some(ms) => (Tier::Aim, job.seen_at + ms),
+            Some(ms) if own.is_some() => (Tier::Deadline, start(*ms)),
+            Some(ms) => (Tier::Aim, start(*ms)),
             None => (Tier::Missed, 0),
         }
     }
@@ -1308,7 +1345,8 @@
         }
         candidates.sort_by(|a, b| {
             let (a, b) = (&round.rooms[*a], &round.rooms[*b]);
-            a.score.partial_cmp(&b.score).unwrap_or(std::cmp::Ordering::Equal)
+            let key = |r: &Room| (!r.spot, r.score);
+            key(a).partial_cmp(&key(b)).unwrap_or(std::cmp::Ordering::Equal)
         });
         if spec.one_zone {
             // Where its live tasks are, or else where most of them fit.
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -370,8 +370,7 @@
                     .collect();
                 self.cache.do_send(Counts(jobs.clone()));
                 self.peers.do_send(Tell(Frame::Progress { token: c.token(), jobs }));
-                let (up, unsettled, waiting) = c.counts();
-                tracing::debug!("{up} machines up, {unsettled} unsettled, {waiting} tasks wait");
+                tracing::debug!("{:?}", c.summary());
             }
         }
     }
