When not all aims can be met, the jobs with most work step back (as a class of aims)

Cause: in overload EDF makes everything just late. Moore and Hodgson's rule over the queue of class aims, deadline jobs and running work counted first.

--- a/crates/latchtrack-core/src/leader.rs
+++ b/crates/latchtrack-core/src/leader.rs
@@ -1186,7 +1186,12 @@
                 })
             })
             .collect();
-        order.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
+        let by_rank = |a: &(Rank, JobId), b: &(Rank, JobId)| {
+            a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)
+        };
+        order.sort_by(by_rank);
+        self.step_back(now, &mut order, &round.total);
+        order.sort_by(by_rank);
         for (_, id) in order {
             self.place_job(now, id, &mut round);
         }
@@ -1255,17 +1260,54 @@
         if dues.is_empty() {
             return (Tier::Regular, 0);
         }
-        // By the latest start that still meets it, as far as the owner's estimate can be trusted.
-        let run = (job.spec.estimate_s * 1000.0) as Millis;
-        let start = |ms: Millis| (job.seen_at + ms).saturating_sub(run);
-        dues.retain(|ms| start(*ms) > now);
+        dues.retain(|ms| job.seen_at + ms > now);
         match dues.iter().min() {
-            Some(ms) if own.is_some() => (Tier::Deadline, start(*ms)),
-            Some(ms) => (Tier::Aim, start(*ms)),
+            Some(ms) if own.is_some() => (Tier::Deadline, job.seen_at + ms),
+            Some(ms) => (Tier::Aim, job.seen_at + ms),
             None => (Tier::Missed, 0),
         }
     }
 
+    /// The jobs that step back because not all can be in time: see [`placement::set_aside`].
+    fn step_back(&self, now: Millis, order: &mut [(Rank, JobId)], total: &Demand) {
+        let cpu_ms = |spec: &JobSpec, n: f64| spec.demand.cpus * n * spec.estimate_s * 1000.0;
+        // What runs now takes its room for half its estimate more, on average.
+        let running: f64 = self
+            .machines
+            .values()
+            .flat_map(|m| m.runs.values())
+            .filter(|r| r.live())
+            .filter_map(|r| r.spec.as_ref().map(|s| cpu_ms(s, 0.5)))
+            .sum();
+        let deadlines: f64 = order
+            .iter()
+            .filter(|(rank, _)| rank.tier == Tier::Deadline)
+            .filter_map(|(_, id)| self.jobs.get(id))
+            .map(|job| cpu_ms(&job.spec, f64::from(job.waiting())))
+            .sum();
+        let aims = || order.iter().enumerate().filter(|(_, (rank, _))| rank.tier == Tier::Aim);
+        let queue: Vec<placement::Asked> = aims()
+            .filter_map(|(_, (rank, id))| {
+                let job = self.jobs.get(id)?;
+                Some(placement::Asked {
+                    left_ms: rank.due.saturating_sub(now) as f64,
+                    run_ms: job.spec.estimate_s * 1000.0,
+                    work: cpu_ms(&job.spec, f64::from(job.waiting())),
+                })
+            })
+            .collect();
+        let places: Vec<usize> = aims().map(|(i, _)| i).collect();
+        let aside = placement::set_aside(&queue, running + deadlines, total.cpus);
+        for ((place, aside), asked) in places.into_iter().zip(aside).zip(queue) {
+            if aside {
+                let rank = &mut order[place].0;
+                rank.tier = Tier::Aside;
+                // Among themselves the least work first: that still brings the most in.
+                rank.due = asked.work as Millis;
+            }
+        }
+    }
+
     fn place_job(&mut self, now: Millis, id: JobId, round: &mut Round) {
         let Some(job) = self.jobs.get(&id) else { return };
         let spec = job.spec.clone();
--- a/crates/latchtrack-core/src/placement.rs
+++ b/crates/latchtrack-core/src/placement.rs
@@ -1,6 +1,8 @@
 //! Where tasks go: the greedy best-fit-decreasing placer of the paper's Algorithm 3, the order of
 //! its Algorithm 1, and the choice of what to rent.
 
+use std::collections::BinaryHeap;
+
 use crate::constants::*;
 use crate::job::{Demand, JobSpec};
 use crate::machine::{fits, MachineType};
@@ -89,6 +91,8 @@
     Aim,
     /// With neither.
     Regular,
+    /// Can't all be in time: these would make the most others late.
+    Aside,
     /// Past all of its own.
     Missed,
 }
@@ -105,6 +109,40 @@
     pub minus_demand: f64,
 }
 
+/// What a job asks for in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// ms until it is due.
+    pub left_ms: f64,
+    /// ms one task runs, as its owner estimates.
+    pub run_ms: f64,
+    /// CPU-ms of all its waiting tasks.
+    pub work: f64,
+}
+
+/// Which jobs of a queue, in its order, step back when more is asked than can be done in time:
+/// whenever one would be late, the one with the most work up to there (Moore and Hodgson's rule,
+/// which leaves the most jobs in time). `running` CPU-ms go before, `cpus` work.
+pub fn set_aside(queue: &[Asked], running: f64, cpus: f64) -> Vec<bool> {
+    let mut aside = vec![false; queue.len()];
+    if cpus <= 0.0 {
+        return aside;
+    }
+    let mut before = running;
+    let mut kept: BinaryHeap<(u64, usize)> = BinaryHeap::new();
+    for (i, asked) in queue.iter().enumerate() {
+        before += asked.work;
+        kept.push((asked.work as u64, i));
+        if before / cpus + asked.run_ms > asked.left_ms {
+            if let Some((_, most)) = kept.pop() {
+                aside[most] = true;
+                before -= queue[most].work;
+            }
+        }
+    }
+    aside
+}
+
 /// Something the cloud may rent out.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Offer {
@@ -156,6 +194,16 @@
         assert_eq!(score(&free, &Demand::default(), &w), 0.0, "no machine runs");
     }
 
+    #[test]
+    fn the_largest_steps_back_when_not_all_can_be_in_time() {
+        let job = |left_ms, work| Asked { left_ms, run_ms: 0.0, work };
+        let all = [job(10.0, 40.0), job(20.0, 300.0), job(25.0, 40.0), job(30.0, 40.0)];
+        assert_eq!(set_aside(&all, 0.0, 100.0), [false; 4], "there is room for all");
+        assert_eq!(set_aside(&all, 0.0, 10.0), [false, true, false, false]);
+        assert_eq!(set_aside(&all, 60.0, 10.0), [false, true, false, false]);
+        assert_eq!(set_aside(&all, 0.0, 0.0), [false; 4], "nothing known of the room");
+    }
+
     #[test]
     fn fits_is_bounded_by_the_scarcest_part() {
         let d = Demand { cpus: 4.0, gpus: 0.0, memory_gb: 15.0 };
