--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -14,6 +14,8 @@
 pub const SLICE: u32 = 1;
 /// ms an empty machine is kept before it goes back (the design's starting value).
 pub const IDLE_WAIT_MS: Millis = 20_000;
+/// ms an empty ordinary machine is kept.
+pub const ORDINARY_IDLE_WAIT_MS: Millis = 4_000;
 /// ms a job may be passed over before smaller jobs stop taking its room.
 pub const PASS_OVER_MS: Millis = 10_000;
 /// ms a job finds no room before a spot machine is rented for it.
--- a/crates/latchtrack-core/src/leader.rs
+++ b/crates/latchtrack-core/src/leader.rs
@@ -25,7 +25,9 @@
 pub struct Policy {
     pub weights: Weights,
     pub slice: u32,
+    /// How long an empty machine is kept: a spot one, an ordinary one.
     pub idle_wait_ms: Millis,
+    pub ordinary_idle_wait_ms: Millis,
     pub pass_over_ms: Millis,
     /// How long a job finds no room before a machine is rented for it: a spot one, an ordinary one.
     pub spot_after_ms: Millis,
@@ -1071,7 +1073,12 @@
             }
             if m.up() && !m.unsettled && no_runs && !m.leaving {
                 let since = *m.empty_since.get_or_insert(now);
-                if m.notice_at.is_some() || now.saturating_sub(since) >= self.policy.idle_wait_ms {
+                let wait = if m.spot {
+                    self.policy.idle_wait_ms
+                } else {
+                    self.policy.ordinary_idle_wait_ms
+                };
+                if m.notice_at.is_some() || now.saturating_sub(since) >= wait {
                     m.leaving = true;
                 }
             }
--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -144,6 +144,8 @@
     pub slice: u32,
     /// s an empty machine is kept.
     pub idle_wait_s: f64,
+    /// The same for an ordinary machine, which is dearer.
+    pub ordinary_idle_wait_s: f64,
     /// s a job may be passed over before smaller ones stop taking its room.
     pub pass_over_s: f64,
     /// s a job finds no room before a spot machine is rented for it.
@@ -166,6 +168,7 @@
             gamma: core::GAMMA,
             slice: core::SLICE,
             idle_wait_s: s(core::IDLE_WAIT_MS),
+            ordinary_idle_wait_s: s(core::ORDINARY_IDLE_WAIT_MS),
             pass_over_s: s(core::PASS_OVER_MS),
             spot_after_s: s(core::SPOT_AFTER_MS),
             ordinary_after_s: s(core::ORDINARY_AFTER_MS),
@@ -243,6 +246,7 @@
         within("gamma", t.gamma, 0.0, 100.0)?;
         within("slice", f64::from(t.slice), 1.0, f64::from(core::TASKS_MOST))?;
         within("idle_wait_s", t.idle_wait_s, 0.0, 86_400.0)?;
+        within("ordinary_idle_wait_s", t.ordinary_idle_wait_s, 0.0, 86_400.0)?;
         within("pass_over_s", t.pass_over_s, 0.0, 86_400.0)?;
         within("spot_after_s", t.spot_after_s, 0.0, 3_600.0)?;
         within("ordinary_after_s", t.ordinary_after_s, 0.0, 3_600.0)?;
@@ -273,6 +277,7 @@
             weights: Weights { alpha: t.alpha, beta: 1.0 - t.alpha, gamma: t.gamma },
             slice: t.slice,
             idle_wait_ms: ms(t.idle_wait_s),
+            ordinary_idle_wait_ms: ms(t.ordinary_idle_wait_s),
             pass_over_ms: ms(t.pass_over_s),
             spot_after_ms: ms(t.spot_after_s),
             ordinary_after_ms: ms(t.ordinary_after_s),
