Simulate the core with every rule checked after each step

Found and mended: a new leader that heard none of its inherited machines resigned for ever, and nobody settled them (now it resigns only if a machine was heard in its own term, and deletes them past their lease).

--- a/crates/latchtrack-core/src/leader.rs
+++ b/crates/latchtrack-core/src/leader.rs
@@ -1019,8 +1019,12 @@
         // Many at once: rather a cut between us and them than that many dead machines. Deleting
         // them would throw their work away; past its lease a machine has none left.
         let cut = known >= SILENT_LEAST && silent.len() as f64 > known as f64 * SILENT_SHARE;
+        // A machine heard in this term shows that we were heard once. A new leader that hears none
+        // must not resign: the next would do the same for ever, with nobody to settle them.
+        let heard_once = self.machines.values().any(|m| m.up());
         let past_lease = self.policy.lease_ms + LEASE_MARGIN_MS;
         if cut
+            && heard_once
             && silent.len() == known
             && now.saturating_sub(self.took_over) > self.policy.silence_ms + self.policy.settle_ms
         {
--- /dev/null
+++ b/crates/latchtrack-core/tests/world/mod.rs
@@ -0,0 +1,1203 @@
+//! The world of the simulation: state service, cloud, workers, users, nodes and a referee.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use latchtrack_core::bitmap::Bitmap;
+use latchtrack_core::job::{Demand, JobId, JobSpec, Priority, TaskId};
+use latchtrack_core::leader::*;
+use latchtrack_core::machine::*;
+use latchtrack_core::placement::{Offer, Weights};
+use latchtrack_core::rules;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// ms of a step.
+const STEP: u64 = 50;
+/// ms in which troubles start, and after which everything must get done.
+const TROUBLED: u64 = 150_000;
+const END: u64 = 420_000;
+const LEASE: u64 = 15_000;
+const TTL: u64 = 3_000;
+const GUARD: u64 = 200;
+const CANCEL: u64 = 25_000;
+const REPORT: u64 = 1_500;
+const LIMIT: f64 = 14.0;
+const ZONES: [&str; 2] = ["a", "b"];
+
+/// Which guard is broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    Nothing,
+    /// A new leader believes that nothing was launched before it.
+    NoSettling,
+    /// A machine counts as gone though its delete was not answered.
+    SilenceIsDeath,
+    /// A leader acts though its lease has run out and its mirror is old.
+    NoLease,
+    /// Machines are taken for stored that are not.
+    NotStored,
+    /// Ended runs are forgotten though a direct command is open, and then unknown to the machine.
+    EarlyForget,
+    /// The leader's writes are made without conditions.
+    NoFence,
+    DeafToCancel,
+    NoLimit,
+    AnyPlace,
+    EarlyDone,
+}
+
+#[derive(Clone)]
+enum State {
+    Open { stored_at: u64 },
+    Done,
+    Cancelled,
+}
+
+struct Stored {
+    spec: Arc<JobSpec>,
+    state: State,
+    stamp: u64,
+    told_cancelled: Option<u64>,
+    told_done: bool,
+    /// Fails on every machine.
+    mistaken: bool,
+}
+
+struct WTask {
+    phase: Phase,
+    until: u64,
+}
+
+struct Worker {
+    kind: &'static str,
+    zone: &'static str,
+    spot: bool,
+    up_at: u64,
+    alive: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    lease_from: u64,
+    tasks: BTreeMap<(TaskId, u64), WTask>,
+    node: usize,
+    /// Sent at, and the id of the report in flight.
+    flying: Option<(u64, u64)>,
+    next_report: u64,
+    cut_until: u64,
+    hang_until: u64,
+    sick: bool,
+    done_here: BTreeSet<TaskId>,
+}
+
+struct Node {
+    up: bool,
+    back_at: u64,
+    paused_until: u64,
+    cut_until: u64,
+    /// Refused by the state service alone.
+    refused_until: u64,
+    drift: f64,
+    cluster: Option<Cluster>,
+    token: u64,
+    valid_until: u64,
+    fresh_at: u64,
+    seen_stamp: u64,
+    last_renew: u64,
+    last_list: u64,
+    /// Steady clock at the start of this run.
+    saving: bool,
+    run: u64,
+}
+
+enum Msg {
+    Report {
+        node: usize,
+        worker: String,
+        report: Report,
+        id: u64,
+        sent: u64,
+    },
+    Answer {
+        worker: String,
+        id: u64,
+        token: u64,
+        session: u64,
+        commands: Vec<Command>,
+        sent: u64,
+    },
+    Elsewhere {
+        worker: String,
+        id: u64,
+    },
+    Do {
+        node: usize,
+        run: u64,
+        worker: String,
+        token: u64,
+        session: u64,
+        call: u64,
+        commands: Vec<Command>,
+        late: bool,
+    },
+    Did {
+        node: usize,
+        run: u64,
+        token: u64,
+        worker: String,
+        call: u64,
+        outcome: CallOutcome,
+    },
+    Hire {
+        node: usize,
+        run: u64,
+        token: u64,
+        hire: String,
+        offer: Offer,
+        number: u32,
+        tell: bool,
+    },
+    Return {
+        node: usize,
+        run: u64,
+        token: u64,
+        names: Vec<String>,
+        tell: bool,
+    },
+    Write {
+        node: usize,
+        run: u64,
+        token: u64,
+        writes: Vec<Write>,
+        tell: bool,
+    },
+    /// Something for a node's core, if it still is in that term.
+    Tell {
+        node: usize,
+        run: u64,
+        token: u64,
+        event: Event,
+    },
+    Saved {
+        node: usize,
+        run: u64,
+        token: u64,
+        writes: Vec<Write>,
+        outcome: SaveOutcome,
+    },
+}
+
+pub struct World {
+    rng: StdRng,
+    broken: Broken,
+    now: u64,
+    next_id: u64,
+    queue: BTreeMap<(u64, u64), Msg>,
+    // State service.
+    epoch: u64,
+    leader: Option<(usize, u64, u64)>,
+    jobs: BTreeMap<JobId, Stored>,
+    results: BTreeMap<(JobId, u32), Vec<u8>>,
+    fleet: BTreeMap<String, StoredMachine>,
+    store_down_until: u64,
+    // Cloud.
+    cloud_down_until: u64,
+    workers: BTreeMap<String, Worker>,
+    hires: BTreeMap<String, Vec<String>>,
+    next_machine: u64,
+    nodes: Vec<Node>,
+    // Referee.
+    pub violations: Vec<String>,
+    completed: BTreeSet<TaskId>,
+    pub terms: u64,
+    pub late_commands: u64,
+    next_job: u64,
+    lonely: bool,
+}
+
+fn types() -> Vec<MachineType> {
+    let zones: Vec<String> = ZONES.iter().map(|z| z.to_string()).collect();
+    let t = |name: &str, cpus: f64, boot_s: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: cpus * 4.0,
+        price: cpus,
+        spot_price: cpus / 3.0,
+        boot_s,
+        zones: zones.clone(),
+    };
+    vec![t("small", 4.0, 3.0), t("large", 8.0, 6.0)]
+}
+
+impl World {
+    pub fn new(seed: u64, broken: Broken) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let nodes = (0..3)
+            .map(|_| Node {
+                up: true,
+                back_at: 0,
+                paused_until: 0,
+                cut_until: 0,
+                refused_until: 0,
+                drift: rng.random_range(-0.0005..0.0005),
+                cluster: None,
+                token: 0,
+                valid_until: 0,
+                fresh_at: 0,
+                seen_stamp: 0,
+                last_renew: 0,
+                last_list: 0,
+                saving: false,
+                run: 0,
+            })
+            .collect();
+        World {
+            rng,
+            broken,
+            now: 1_000,
+            next_id: 0,
+            queue: BTreeMap::new(),
+            epoch: 10,
+            leader: None,
+            jobs: BTreeMap::new(),
+            results: BTreeMap::new(),
+            fleet: BTreeMap::new(),
+            store_down_until: 0,
+            cloud_down_until: 0,
+            workers: BTreeMap::new(),
+            hires: BTreeMap::new(),
+            next_machine: 0,
+            nodes,
+            violations: Vec::new(),
+            completed: BTreeSet::new(),
+            terms: 0,
+            late_commands: 0,
+            next_job: 0,
+            lonely: false,
+        }
+    }
+
+    /// Only the first node is served by the state service, and not always, so that nobody else takes over when it
+    /// is refused: only its own lease ends what it does.
+    pub fn lonely(mut self) -> Self {
+        for node in &mut self.nodes[1..] {
+            node.refused_until = END;
+        }
+        self.lonely = true;
+        self
+    }
+
+    pub fn run(&mut self) {
+        while self.now < END && self.violations.is_empty() {
+            self.now += STEP;
+            if self.now < TROUBLED {
+                self.trouble();
+                self.users();
+            } else if self.unfinished().is_empty() {
+                break;
+            }
+            self.tell_users();
+            while let Some((&key, _)) = self.queue.first_key_value() {
+                if key.0 > self.now {
+                    break;
+                }
+                if let Some(msg) = self.queue.remove(&key) {
+                    self.deliver(msg);
+                }
+            }
+            self.step_store();
+            self.step_workers();
+            for n in 0..self.nodes.len() {
+                self.step_node(n);
+            }
+            self.check_cancelled();
+        }
+    }
+
+    pub fn jobs_done(&self) -> usize {
+        self.jobs.values().filter(|j| matches!(j.state, State::Done)).count()
+    }
+
+    pub fn unfinished(&self) -> Vec<String> {
+        let open =
+            self.jobs.iter().filter(|(_, j)| matches!(j.state, State::Open { .. }) && !j.mistaken);
+        open.map(|(id, _)| id.to_string()).collect()
+    }
+
+    fn chance(&mut self, p: f64) -> bool {
+        self.rng.random_bool(p)
+    }
+
+    fn post(&mut self, delay: u64, msg: Msg) {
+        self.next_id += 1;
+        self.queue.insert((self.now + delay, self.next_id), msg);
+    }
+
+    /// The delay of a message; now and then it is held back for long.
+    fn delay(&mut self, held: f64) -> u64 {
+        if self.now < TROUBLED && self.chance(held) {
+            self.rng.random_range(3_000..40_000)
+        } else {
+            self.rng.random_range(1..60)
+        }
+    }
+
+    fn violate(&mut self, rule: &str, what: String) {
+        self.violations.push(format!("{rule}: {what} at {}", self.now));
+    }
+
+    // ---- troubles and users ----
+
+    fn trouble(&mut self) {
+        if !self.chance(0.02) {
+            return;
+        }
+        let (now, for_ms) = (self.now, self.rng.random_range(1_000..25_000));
+        let until = now + for_ms;
+        let n = self.rng.random_range(0..3);
+        match self.rng.random_range(0..12) {
+            0 | 1 => self.crash(n),
+            2 if self.chance(0.3) => (0..3).for_each(|n| self.crash(n)),
+            3 => self.nodes[n].paused_until = until,
+            4 if self.chance(0.5) => self.nodes[n].cut_until = until,
+            4 => self.nodes[n].refused_until = until + for_ms,
+            5 if self.chance(0.4) => self.store_down_until = now + for_ms / 2,
+            6 if self.chance(0.4) => self.cloud_down_until = until,
+            _ => {
+                let names: Vec<String> = self.workers.keys().cloned().collect();
+                if names.is_empty() {
+                    return;
+                }
+                let name = names[self.rng.random_range(0..names.len())].clone();
+                let (what, w) = (self.rng.random_range(0..10), self.workers.get_mut(&name));
+                let Some(w) = w else { return };
+                match what {
+                    0 => {
+                        w.alive = false;
+                        w.tasks.clear();
+                    }
+                    1 => {
+                        self.workers.remove(&name);
+                    }
+                    2..=5 => w.cut_until = until + 10_000,
+                    // A machine that hangs for longer than its lease is as good as dead.
+                    6 | 7 => w.hang_until = now + for_ms / 2,
+                    8 => w.sick = true,
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn crash(&mut self, n: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        node.up = false;
+        node.cluster = None;
+        node.token = 0;
+        node.saving = false;
+        node.run += 1;
+        node.back_at = now + 2_000;
+    }
+
+    fn users(&mut self) {
+        if self.now < self.store_down_until {
+            return;
+        }
+        if self.chance(0.007) {
+            self.submit();
+        }
+        if self.chance(0.002) {
+            let open: Vec<JobId> = self
+                .jobs
+                .iter()
+                .filter(|(_, j)| matches!(j.state, State::Open { .. }))
+                .map(|(id, _)| *id)
+                .collect();
+            if !open.is_empty() {
+                let id = open[self.rng.random_range(0..open.len())];
+                self.epoch += 1;
+                let (epoch, now) = (self.epoch, self.now);
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    j.state = State::Cancelled;
+                    j.stamp = epoch;
+                    j.told_cancelled = Some(now);
+                }
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        self.next_job += 1;
+        let id = JobId(self.next_job);
+        let rng = &mut self.rng;
+        let cpus = f64::from(rng.random_range(1..=6));
+        let zone = rng.random_bool(0.2).then(|| ZONES[rng.random_range(0..2)].to_string());
+        let spec = JobSpec {
+            id,
+            class: "c".into(),
+            team: if rng.random_bool(0.5) { "free".into() } else { "limited".into() },
+            priority: Priority::Normal,
+            tasks: rng.random_range(1..=6),
+            demand: Demand { cpus, gpus: 0.0, memory_gb: cpus },
+            types: rng.random_bool(0.2).then(|| vec!["large".to_string()]),
+            zone: zone.clone(),
+            one_zone: rng.random_bool(0.2),
+            spread: zone.is_none() && rng.random_bool(0.2),
+            spot: rng.random_bool(0.6),
+            image: "i".into(),
+            image_gb: 1.0,
+            estimate_s: rng.random_range(1.0..30.0),
+            checkpoint_s: if rng.random_bool(0.3) { 3.0 } else { 0.0 },
+            save_s: 1.0,
+            deadline_s: rng.random_bool(0.4).then(|| rng.random_range(10.0..80.0)),
+        };
+        let mut spec = spec;
+        if spec.one_zone {
+            spec.spread = false;
+        }
+        let mistaken = self.rng.random_bool(0.08);
+        self.epoch += 1;
+        self.jobs.insert(
+            id,
+            Stored {
+                spec: Arc::new(spec),
+                state: State::Open { stored_at: self.now },
+                stamp: self.epoch,
+                told_cancelled: None,
+                told_done: false,
+                mistaken,
+            },
+        );
+    }
+
+    /// Users read the records, as any node would show them.
+    fn tell_users(&mut self) {
+        let mut bad = Vec::new();
+        for (id, j) in &mut self.jobs {
+            match j.state {
+                State::Done => {
+                    if j.told_cancelled.is_some() {
+                        bad.push(("went_back", format!("{id} cancelled, then done")));
+                    }
+                    j.told_done = true;
+                    let all = (0..j.spec.tasks)
+                        .all(|index| self.completed.contains(&TaskId { job: *id, index }));
+                    if !all {
+                        bad.push(("not_done", format!("{id}")));
+                    }
+                }
+                _ if j.told_done => bad.push(("went_back", format!("{id} is not done any more"))),
+                State::Open { stored_at } if stored_at > self.now => {
+                    bad.push(("went_back", format!("{id} from the future")));
+                }
+                _ => {}
+            }
+        }
+        for (rule, what) in bad {
+            self.violate(rule, what);
+        }
+    }
+
+    fn check_cancelled(&mut self) {
+        let mut bad = Vec::new();
+        for (name, w) in &self.workers {
+            for ((task, _), t) in &w.tasks {
+                if !matches!(t.phase, Phase::Running | Phase::Saving) {
+                    continue;
+                }
+                let told = self.jobs.get(&task.job).and_then(|j| j.told_cancelled);
+                if told.is_some_and(|at| self.now > at + CANCEL) {
+                    bad.push(format!("{task} on {name}"));
+                }
+            }
+        }
+        for what in bad {
+            self.violate("ran_cancelled", what);
+        }
+    }
+
+    // ---- state service ----
+
+    fn step_store(&mut self) {
+        if self.now < self.store_down_until {
+            // After an outage every lease has its full time again.
+            if let Some(l) = &mut self.leader {
+                l.2 = self.store_down_until + TTL;
+            }
+        } else if self.leader.is_some_and(|(_, _, until)| until < self.now) {
+            self.leader = None;
+            self.epoch += 1;
+        }
+    }
+
+    fn write(&mut self, token: u64, writes: &[Write]) -> SaveOutcome {
+        if self.now < self.store_down_until {
+            return SaveOutcome::Failed;
+        }
+        if self.broken != Broken::NoFence {
+            if self.leader.map(|l| l.1) != Some(token) {
+                return SaveOutcome::Conflict(Vec::new());
+            }
+            let stale: Vec<JobId> = writes
+                .iter()
+                .filter_map(|w| match w {
+                    Write::Done { job, stamp, .. } if self.jobs[job].stamp != *stamp => Some(*job),
+                    _ => None,
+                })
+                .collect();
+            if !stale.is_empty() {
+                return SaveOutcome::Conflict(stale);
+            }
+        }
+        self.epoch += 1;
+        for w in writes {
+            match w.clone() {
+                Write::Machine(m) => {
+                    if self.broken != Broken::NotStored {
+                        self.fleet.insert(m.name.clone(), m);
+                    }
+                }
+                Write::DropMachine(name) => {
+                    self.fleet.remove(&name);
+                }
+                Write::Progress { job, chunk, bytes } => {
+                    self.results.insert((job, chunk), bytes);
+                }
+                Write::Done { job, drop_chunks, .. } => {
+                    if let Some(j) = self.jobs.get_mut(&job) {
+                        j.state = State::Done;
+                        j.stamp = self.epoch;
+                    }
+                    for c in drop_chunks {
+                        self.results.remove(&(job, c));
+                    }
+                }
+            }
+        }
+        SaveOutcome::Ok
+    }
+
+    // ---- workers ----
+
+    fn report(&self, name: &str) -> Option<Report> {
+        let w = self.workers.get(name)?;
+        Some(Report {
+            machine: name.into(),
+            addr: name.into(),
+            kind: w.kind.into(),
+            zone: w.zone.into(),
+            spot: w.spot,
+            session: w.session,
+            seq: w.seq,
+            token: w.token,
+            notice_s: None,
+            tasks: w
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| TaskReport {
+                    task: *task,
+                    attempt: *attempt,
+                    phase: t.phase,
+                })
+                .collect(),
+        })
+    }
+
+    fn step_workers(&mut self) {
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            let now = self.now;
+            let Some(w) = self.workers.get_mut(&name) else { continue };
+            if !w.alive || now < w.up_at || now < w.hang_until {
+                continue;
+            }
+            if w.session == 0 {
+                w.session = 1;
+                w.lease_from = now;
+            }
+            // A steady clock that is slow: the worst case.
+            if now > w.lease_from + LEASE + LEASE / 2_000 {
+                w.session += 1;
+                w.tasks.clear();
+                w.lease_from = now;
+                w.flying = None;
+            }
+            self.run_tasks(&name);
+            let Some(w) = self.workers.get_mut(&name) else { continue };
+            if w.flying.is_some_and(|(sent, _)| now > sent + 4_000) {
+                w.flying = None;
+                w.node = (w.node + 1) % 3;
+                w.next_report = now + 1_000;
+            }
+            if w.flying.is_none() && now >= w.next_report {
+                w.seq += 1;
+                self.next_id += 1;
+                let id = self.next_id;
+                w.flying = Some((now, id));
+                w.next_report = now + REPORT;
+                let (node, cut) = (w.node, now < w.cut_until);
+                let Some(report) = self.report(&name) else { continue };
+                let held = if cut { 1.0 } else { 0.01 };
+                let delay = self.delay(held);
+                if !(cut && self.chance(0.5)) {
+                    let msg = Msg::Report { node, worker: name, report, id, sent: now };
+                    self.post(delay, msg);
+                }
+            }
+        }
+    }
+
+    fn run_tasks(&mut self, name: &str) {
+        let now = self.now;
+        let Some(w) = self.workers.get(name) else { return };
+        let due: Vec<(TaskId, u64)> =
+            w.tasks.iter().filter(|(_, t)| t.until <= now).map(|(k, _)| *k).collect();
+        for key in due {
+            let Some(w) = self.workers.get(name) else { return };
+            let phase = w.tasks[&key].phase;
+            let most = if self.rng.random_bool(0.15) { 45_000 } else { 15_000 };
+            let run = self.rng.random_range(1_500..most);
+            let mistaken = self.jobs.get(&key.0.job).is_some_and(|j| j.mistaken);
+            let next = match phase {
+                Phase::Fetching if w.done_here.contains(&key.0) => {
+                    (Phase::Ended(Cause::Done), u64::MAX)
+                }
+                Phase::Fetching => {
+                    self.check_start(name, key.0);
+                    (Phase::Running, now + run)
+                }
+                Phase::Running if w.sick || mistaken => (Phase::Ended(Cause::Error), u64::MAX),
+                Phase::Running => {
+                    self.completed.insert(key.0);
+                    if let Some(w) = self.workers.get_mut(name) {
+                        w.done_here.insert(key.0);
+                    }
+                    (Phase::Ended(Cause::Done), u64::MAX)
+                }
+                Phase::Saving => (Phase::Ended(Cause::Stopped), u64::MAX),
+                _ => continue,
+            };
+            if let Some(t) = self.workers.get_mut(name).and_then(|w| w.tasks.get_mut(&key)) {
+                (t.phase, t.until) = next;
+            }
+            // A change is reported soon.
+            if let Some(w) = self.workers.get_mut(name) {
+                w.next_report = w.next_report.min(now + 500);
+            }
+        }
+    }
+
+    /// The referee sees a task start.
+    fn check_start(&mut self, name: &str, task: TaskId) {
+        let Some(j) = self.jobs.get(&task.job) else { return };
+        let spec = j.spec.clone();
+        let on = |t: &WTask| matches!(t.phase, Phase::Running | Phase::Saving);
+        let mut zones = Vec::new();
+        let mut used = 0.0;
+        let mut bad = Vec::new();
+        for (other, w) in &self.workers {
+            for ((t, _), state) in w.tasks.iter().filter(|(_, t)| on(t)) {
+                if *t == task && other != name {
+                    bad.push(("ran_twice", format!("{task} on {other} and {name}")));
+                } else if t.job == task.job && *t != task {
+                    zones.push(w.zone);
+                }
+                let team = self.jobs.get(&t.job).map(|j| (j.spec.team.clone(), &j.spec.demand));
+                if team.as_ref().is_some_and(|(n, _)| *n == spec.team) {
+                    used += team.map_or(0.0, |(_, d)| d.cpus);
+                }
+                let _ = state;
+            }
+        }
+        let w = &self.workers[name];
+        if !rules::may_start(&spec, w.kind, w.zone, w.spot, zones.into_iter()) {
+            bad.push(("wrong_place", format!("{task} on {name}")));
+        }
+        if spec.team == "limited" && !rules::within_limit(used, spec.demand.cpus, LIMIT) {
+            bad.push(("quota", format!("{task}: {used} in use")));
+        }
+        for (rule, what) in bad {
+            self.violate(rule, what);
+        }
+    }
+
+    fn execute(&mut self, name: &str, commands: &[Command]) {
+        let now = self.now;
+        for c in commands {
+            let fetch = self.rng.random_range(0..2_000);
+            let Some(w) = self.workers.get_mut(name) else { return };
+            match *c {
+                Command::Launch { task, attempt } => {
+                    if w.tasks.contains_key(&(task, attempt)) {
+                        continue;
+                    }
+                    let busy = w
+                        .tasks
+                        .iter()
+                        .any(|((t, _), s)| *t == task && !matches!(s.phase, Phase::Ended(_)));
+                    let room = types().iter().find(|t| t.name == w.kind).map_or(0.0, |t| t.cpus)
+                        - w.tasks
+                            .iter()
+                            .filter(|(_, s)| !matches!(s.phase, Phase::Ended(_)))
+                            .map(|((t, _), _)| self.jobs[&t.job].spec.demand.cpus)
+                            .sum::<f64>();
+                    let phase = if busy {
+                        Phase::Ended(Cause::Busy)
+                    } else if room + 1e-6 < self.jobs[&task.job].spec.demand.cpus {
+                        Phase::Ended(Cause::NoRoom)
+                    } else {
+                        Phase::Fetching
+                    };
+                    w.tasks.insert((task, attempt), WTask { phase, until: now + fetch });
+                }
+                Command::Stop { task, attempt, grace_s } => {
+                    let spec = self.jobs.get(&task.job).map(|j| j.spec.clone());
+                    let Some(t) = w.tasks.get_mut(&(task, attempt)) else { continue };
+                    let saves = spec.is_some_and(|s| s.checkpoint_s > 0.0 && grace_s >= s.save_s);
+                    match t.phase {
+                        Phase::Running if saves => {
+                            t.phase = Phase::Saving;
+                            t.until = now + 1_000;
+                        }
+                        Phase::Ended(_) => {}
+                        Phase::Saving if grace_s > 0.0 => {}
+                        _ => t.phase = Phase::Ended(Cause::Stopped),
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    if w.tasks
+                        .get(&(task, attempt))
+                        .is_some_and(|t| matches!(t.phase, Phase::Ended(_)))
+                    {
+                        w.tasks.remove(&(task, attempt));
+                    }
+                }
+            }
+            w.next_report = w.next_report.min(now + 500);
+        }
+    }
+
+    // ---- nodes ----
+
+    /// The steady clock of a node.
+    fn clock(&self, n: usize) -> u64 {
+        (self.now as f64 * (1.0 + self.nodes[n].drift)) as u64
+    }
+
+    fn reaches_store(&self, n: usize) -> bool {
+        let node = &self.nodes[n];
+        if self.lonely && (40_000..110_000).contains(&self.now) {
+            return false;
+        }
+        self.now >= self.store_down_until.max(node.cut_until).max(node.refused_until)
+    }
+
+    fn awake(&self, n: usize) -> bool {
+        self.nodes[n].up && self.now >= self.nodes[n].paused_until
+    }
+
+    fn may_act(&self, n: usize) -> bool {
+        let (node, now) = (&self.nodes[n], self.clock(n));
+        node.cluster.is_some()
+            && (self.broken == Broken::NoLease
+                || (now < node.valid_until && now < node.fresh_at + TTL))
+    }
+
+    fn step_node(&mut self, n: usize) {
+        if !self.nodes[n].up && self.now >= self.nodes[n].back_at {
+            self.nodes[n].up = true;
+        }
+        if !self.awake(n) {
+            return;
+        }
+        let now = self.clock(n);
+        if self.reaches_store(n) && now >= self.nodes[n].last_renew + 300 {
+            self.nodes[n].last_renew = now;
+            match self.leader {
+                None => self.take_over(n),
+                Some((leader, token, _)) if leader == n && self.nodes[n].token == token => {
+                    self.leader = Some((n, token, self.now + TTL));
+                    self.nodes[n].valid_until = now + TTL - GUARD;
+                }
+                Some(_) => {
+                    if self.broken != Broken::NoLease {
+                        self.nodes[n].cluster = None;
+                        self.nodes[n].token = 0;
+                    }
+                }
+            }
+            if self.broken != Broken::NoLease || self.leader.map(|l| l.0) == Some(n) {
+                self.read_jobs(n);
+            }
+        }
+        if self.may_act(n) {
+            self.drive(n, Event::Tick);
+            if now >= self.nodes[n].last_list + 10_000 {
+                self.nodes[n].last_list = now;
+                let listed = self.list();
+                self.drive(n, Event::Listed(listed));
+            }
+        }
+    }
+
+    fn list(&mut self) -> Vec<Listed> {
+        if self.now < self.cloud_down_until {
+            return Vec::new();
+        }
+        let mut out = Vec::new();
+        for (name, w) in &self.workers {
+            // New ones are absent for a while.
+            if w.up_at + 3_000 < self.now {
+                out.push(Listed {
+                    name: name.clone(),
+                    kind: w.kind.into(),
+                    zone: w.zone.into(),
+                    spot: w.spot,
+                    failed: !w.alive,
+                    age_ms: self.now - w.up_at,
+                });
+            }
+        }
+        out
+    }
+
+    fn take_over(&mut self, n: usize) {
+        self.epoch += 1;
+        self.terms += 1;
+        let token = self.epoch;
+        self.leader = Some((n, token, self.now + TTL));
+        let now = self.clock(n);
+        let team = |name: &str, cpus_max| Team {
+            name: name.into(),
+            cpus: 4.0,
+            cpus_max,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        };
+        let limit = if self.broken == Broken::NoLimit { 0.0 } else { LIMIT };
+        let policy = Policy {
+            weights: Weights::default(),
+            slice: 1 + (token % 2) as u32,
+            idle_wait_ms: 5_000,
+            ordinary_idle_wait_ms: 2_000,
+            pass_over_ms: 3_000,
+            spot_after_ms: 0,
+            ordinary_after_ms: 500,
+            silence_ms: 6_000,
+            settle_ms: 4_000,
+            lease_ms: LEASE,
+            teams: vec![team("free", 0.0), team("limited", limit)],
+            aims: vec![Aim { class: "c".into(), due: Due::Within(30_000) }],
+        };
+        let inherited = match self.broken {
+            Broken::NoSettling => Vec::new(),
+            _ => self.fleet.values().cloned().collect(),
+        };
+        let node = &mut self.nodes[n];
+        node.cluster = Some(Cluster::new(policy, token, types(), inherited, now));
+        node.token = token;
+        node.valid_until = now + TTL - GUARD;
+        node.seen_stamp = 0;
+        node.saving = false;
+    }
+
+    /// The mirror takes in the job records.
+    fn read_jobs(&mut self, n: usize) {
+        let seen = self.nodes[n].seen_stamp;
+        let mut events = Vec::new();
+        for (id, j) in self.jobs.iter().filter(|(_, j)| j.stamp > seen) {
+            match j.state {
+                State::Open { stored_at } => {
+                    let mut done = Bitmap::new(j.spec.tasks);
+                    if let Some(bytes) = self.results.get(&(*id, 0)) {
+                        done.merge_chunk(0, bytes);
+                    }
+                    if self.broken == Broken::EarlyDone && j.spec.tasks > 1 {
+                        done.set(0);
+                    }
+                    let mut spec = j.spec.clone();
+                    if self.broken == Broken::AnyPlace {
+                        let s = Arc::make_mut(&mut spec);
+                        (s.types, s.zone, s.one_zone, s.spread) = (None, None, false, false);
+                        s.spot = true;
+                    }
+                    events.push(Event::Job {
+                        spec,
+                        submitted_ms: stored_at,
+                        stamp: j.stamp,
+                        done: Some(done),
+                    });
+                }
+                _ if self.broken == Broken::DeafToCancel => {}
+                _ => events.push(Event::Closed(*id)),
+            }
+        }
+        self.nodes[n].seen_stamp = self.epoch;
+        self.nodes[n].fresh_at = self.clock(n);
+        for event in events {
+            self.drive(n, event);
+        }
+    }
+
+    fn drive(&mut self, n: usize, event: Event) -> Option<Vec<Command>> {
+        let now = self.clock(n);
+        let node = &mut self.nodes[n];
+        let (run, token) = (node.run, node.token);
+        let effects = node.cluster.as_mut()?.handle(now, event);
+        let mut answer = None;
+        for effect in effects {
+            match effect {
+                Effect::Answer(commands) => answer = Some(commands),
+                Effect::Call { machine, session, call, commands, .. } => {
+                    let late = self.now < TROUBLED && self.chance(0.2);
+                    let delay =
+                        if late { self.rng.random_range(2_600..40_000) } else { self.delay(0.0) };
+                    let worker = machine.clone();
+                    let cut = self.workers.get(&machine).is_none_or(|w| self.now < w.cut_until);
+                    // Given up after 2.5 s, whether or not it arrives.
+                    let lost = Msg::Did {
+                        node: n,
+                        run,
+                        token,
+                        worker: machine,
+                        call,
+                        outcome: CallOutcome::Lost,
+                    };
+                    self.post(2_500, lost);
+                    let late = late || cut;
+                    let delay = if cut { self.rng.random_range(2_600..40_000) } else { delay };
+                    self.post(
+                        delay,
+                        Msg::Do { node: n, run, worker, token, session, call, commands, late },
+                    );
+                }
+                Effect::Hire { hire, offer, number } => {
+                    let (delay, tell) = (self.delay(0.05), !self.chance(0.05));
+                    self.post(delay, Msg::Hire { node: n, run, token, hire, offer, number, tell });
+                }
+                Effect::Return(names) => {
+                    let (delay, tell) = (self.delay(0.05), !self.chance(0.1));
+                    self.post(delay, Msg::Return { node: n, run, token, names, tell });
+                }
+                Effect::Save => self.save(n),
+                Effect::Resign(_) => {
+                    if self.leader.map(|l| l.1) == Some(token) {
+                        self.leader = None;
+                    }
+                }
+                Effect::Note(_) => {}
+            }
+        }
+        answer
+    }
+
+    fn save(&mut self, n: usize) {
+        let node = &mut self.nodes[n];
+        if node.saving {
+            return;
+        }
+        let (run, token) = (node.run, node.token);
+        let Some(c) = node.cluster.as_mut() else { return };
+        let writes = c.next_writes(8);
+        if writes.is_empty() {
+            return;
+        }
+        node.saving = true;
+        let (delay, tell) = (self.delay(0.03), !self.chance(0.03));
+        if delay > 2_000 || !tell {
+            // Unknown to the node, and perhaps applied late.
+            let outcome = SaveOutcome::Failed;
+            let writes = writes.clone();
+            self.post(2_000, Msg::Saved { node: n, run, token, writes, outcome });
+        }
+        self.post(delay, Msg::Write { node: n, run, token, writes, tell: tell && delay <= 2_000 });
+    }
+
+    fn deliver(&mut self, msg: Msg) {
+        match msg {
+            Msg::Report { node, worker, report, id, sent } => {
+                let node_cut = self.now < self.nodes[node].cut_until;
+                if !self.awake(node) || node_cut {
+                    return;
+                }
+                if !self.may_act(node) {
+                    self.post(5, Msg::Elsewhere { worker, id });
+                    return;
+                }
+                let (token, session) = (self.nodes[node].token, report.session);
+                let commands = self.drive(node, Event::Report(report.clone()));
+                let Some(mut commands) = commands else {
+                    self.post(5, Msg::Elsewhere { worker, id });
+                    return;
+                };
+                if self.broken == Broken::EarlyForget {
+                    for t in report.tasks.iter().filter(|t| matches!(t.phase, Phase::Ended(_))) {
+                        commands.push(Command::Forget { task: t.task, attempt: t.attempt });
+                    }
+                }
+                let delay = self.delay(0.01);
+                self.post(delay, Msg::Answer { worker, id, token, session, commands, sent });
+            }
+            Msg::Answer { worker, id, token, session, commands, sent } => {
+                let now = self.now;
+                let Some(w) = self.workers.get_mut(&worker) else { return };
+                let current = w.flying.is_some_and(|(_, f)| f == id) && now <= sent + 4_000;
+                if !w.alive || now < w.hang_until || now < w.cut_until || !current {
+                    return;
+                }
+                w.flying = None;
+                if token < w.token || session != w.session {
+                    return;
+                }
+                if token > w.token {
+                    w.next_report = now + 500;
+                }
+                w.token = token;
+                w.lease_from = w.lease_from.max(sent);
+                self.execute(&worker, &commands);
+            }
+            Msg::Elsewhere { worker, id } => {
+                let leader = self.leader.map(|l| l.0);
+                let now = self.now;
+                let Some(w) = self.workers.get_mut(&worker) else { return };
+                if w.flying.is_some_and(|(_, f)| f == id) {
+                    w.flying = None;
+                    w.node = leader.filter(|l| *l != w.node).unwrap_or((w.node + 1) % 3);
+                    w.next_report = now + 500;
+                }
+            }
+            Msg::Do { node, run, worker, token, session, call, commands, late } => {
+                let now = self.now;
+                let Some(w) = self.workers.get_mut(&worker) else { return };
+                if !w.alive || now < w.up_at || w.session == 0 {
+                    return;
+                }
+                if now < w.hang_until {
+                    // Executed when the machine resumes.
+                    let wait = w.hang_until - now + 1;
+                    let msg =
+                        Msg::Do { node, run, worker, token, session, call, commands, late: true };
+                    self.post(wait, msg);
+                    return;
+                }
+                w.seq += 1;
+                let good = token >= w.token && session == w.session;
+                if good {
+                    w.token = token;
+                    self.late_commands += u64::from(late && !commands.is_empty());
+                    self.execute(&worker, &commands);
+                }
+                if late {
+                    return;
+                }
+                let Some(report) = self.report(&worker) else { return };
+                let outcome =
+                    if good { CallOutcome::Done(report) } else { CallOutcome::Refused(report) };
+                // The answer may be lost on its way.
+                if !self.chance(0.02) {
+                    let delay = self.rng.random_range(1..60);
+                    self.post(delay, Msg::Did { node, run, token, worker, call, outcome });
+                }
+            }
+            Msg::Did { node, run, token, worker, call, outcome } => {
+                let event = Event::Called { machine: worker, call, outcome };
+                self.deliver(Msg::Tell { node, run, token, event });
+            }
+            Msg::Hire { node, run, token, hire, offer, number, tell } => {
+                let outcome = self.rent(&hire, &offer, number);
+                let outcome = if tell { outcome } else { HireOutcome::Lost };
+                let wait = if matches!(outcome, HireOutcome::Machines(_)) { 50 } else { 800 };
+                let event = Event::Hired { hire, outcome };
+                self.post(wait, Msg::Tell { node, run, token, event });
+            }
+            Msg::Return { node, run, token, names, tell } => {
+                let up = self.now >= self.cloud_down_until;
+                if up && self.broken != Broken::SilenceIsDeath {
+                    for name in &names {
+                        self.workers.remove(name);
+                    }
+                }
+                let ok = up && tell;
+                let event = Event::Returned { names, ok };
+                self.post(if ok { 50 } else { 800 }, Msg::Tell { node, run, token, event });
+            }
+            Msg::Write { node, run, token, writes, tell } => {
+                let outcome = self.write(token, &writes);
+                if tell {
+                    let wait = if outcome == SaveOutcome::Ok { 5 } else { 250 };
+                    self.post(wait, Msg::Saved { node, run, token, writes, outcome });
+                }
+            }
+            Msg::Saved { node, run, token, writes, outcome } => {
+                if self.nodes[node].run == run && self.nodes[node].token == token {
+                    self.nodes[node].saving = false;
+                    let event = Event::Saved { writes, outcome };
+                    self.deliver(Msg::Tell { node, run, token, event });
+                }
+            }
+            Msg::Tell { node, run, token, event } => {
+                let n = &self.nodes[node];
+                if n.run == run && n.token == token && n.up {
+                    if self.now < n.paused_until {
+                        let wait = n.paused_until - self.now + 1;
+                        self.post(wait, Msg::Tell { node, run, token, event });
+                    } else {
+                        self.drive(node, event);
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- cloud ----
+
+    fn rent(&mut self, hire: &str, offer: &Offer, number: u32) -> HireOutcome {
+        if self.now < self.cloud_down_until {
+            return HireOutcome::NotDone;
+        }
+        if let Some(names) = self.hires.get(hire) {
+            return HireOutcome::Machines(names.clone());
+        }
+        let have = self
+            .workers
+            .values()
+            .filter(|w| w.kind == offer.kind && w.zone == offer.zone && w.spot == offer.spot)
+            .count();
+        let free = 4usize.saturating_sub(have).min(number as usize);
+        if free == 0 {
+            return HireOutcome::NoCapacity;
+        }
+        let mut names = Vec::new();
+        for _ in 0..free {
+            self.next_machine += 1;
+            let name = format!("n-{:06}", self.next_machine);
+            let never = self.chance(0.03);
+            let boot = self.rng.random_range(500..9_000);
+            let worker = Worker {
+                kind: if offer.kind == "small" { "small" } else { "large" },
+                zone: if offer.zone == "a" { "a" } else { "b" },
+                spot: offer.spot,
+                up_at: if never { u64::MAX / 4 } else { self.now + boot },
+                alive: true,
+                session: 0,
+                seq: 0,
+                token: 0,
+                lease_from: 0,
+                tasks: BTreeMap::new(),
+                node: self.rng.random_range(0..3),
+                flying: None,
+                next_report: 0,
+                cut_until: 0,
+                hang_until: 0,
+                sick: false,
+                done_here: BTreeSet::new(),
+            };
+            self.workers.insert(name.clone(), worker);
+            names.push(name);
+        }
+        self.hires.insert(hire.into(), names.clone());
+        HireOutcome::Machines(names)
+    }
+}
