--- /dev/null
+++ b/crates/latchtrack/tests/faces.rs
@@ -0,0 +1,166 @@
+//! The faces that users and workers see, on loopback.
+
+mod standins;
+
+use serde_json::{json, Value};
+use standins::*;
+
+fn job(id: &str) -> Value {
+    json!({"name_id": id, "lane": "l", "crew": "team", "shape": "batch", "urgency": "high",
+        "pieces": 3, "cores": 2.0, "memory_gb": 4.0, "kit": "i", "pull_gb": 1.0,
+        "expected_s": 5.0, "loaners": true})
+}
+
+async fn ready(node: &str) {
+    until("ready", &format!("{node}/ready"), |g| g.0 == 200).await;
+}
+
+#[actix_web::test]
+async fn submissions_are_judged_in_the_right_order() {
+    let site = site();
+    let node = site.node("one").await;
+    ready(&node).await;
+    let jobs = format!("{node}/api/jobs");
+    let id = "req-000001";
+    let at = format!("{jobs}/{id}");
+    assert_eq!(get(&at).await.0, 404, "unknown");
+    assert_eq!(get(&format!("{jobs}/nonsense")).await.0, 404);
+    let (status, _, body) = post(&jobs, &job(id)).await;
+    assert_eq!((status, &body["status"]), (201, &json!("pending")));
+    assert_eq!(post(&jobs, &job(id)).await.0, 200, "repeated");
+    // A known id is answered with its state, whatever the body says.
+    assert_eq!(post(&jobs, &json!({"name_id": id, "pieces": -1})).await.0, 200);
+    let (status, _, body) = post(&jobs, &json!({"name_id": "req-000002", "pieces": -1})).await;
+    assert_eq!(status, 400, "{body}");
+    let mut bad = job("req-000002");
+    bad["cores"] = json!(-2);
+    let (status, _, body) = post(&jobs, &bad).await;
+    assert_eq!(status, 400);
+    assert!(body["error"].as_str().unwrap().contains("cores"), "{body}");
+    for (field, value) in [
+        ("crew", json!("nobody")),
+        ("cores", json!(9.0)),
+        ("builds", json!(["t2"])),
+        ("yard", json!("b")),
+    ] {
+        let mut never = job("req-000002");
+        never[field] = value;
+        assert_eq!(post(&jobs, &never).await.0, 422, "{field}");
+    }
+    let mut over = job("req-000002");
+    over["crew"] = json!("small");
+    assert_eq!(post(&jobs, &over).await.0, 201, "2 CPUs are just within the limit");
+    let mut over = job("req-000003");
+    (over["crew"], over["cores"]) = (json!("small"), json!(3.0));
+    assert_eq!(post(&jobs, &over).await.0, 422);
+    let mut large = job("req-000003");
+    large["builds"] = (0..900).map(|i| json!(format!("t{i}"))).collect();
+    assert_eq!(post(&jobs, &large).await.0, 400, "does not fit its record");
+    for body in [&b"{"[..], b"[]", b"", b"\xff\xfe", b"{\"name_id\":1e999}"] {
+        assert_eq!(call("POST", &jobs, Some(body)).await.0, 400);
+    }
+    assert_eq!(call("POST", &jobs, Some(&vec![b' '; 70_000])).await.0, 413);
+    // Cancelled once, cancelled for good.
+    let withdraw = format!("{at}/withdraw");
+    for _ in 0..2 {
+        let (status, _, body) = post(&withdraw, &Value::Null).await;
+        assert_eq!((status, &body["status"]), (200, &json!("aborted")));
+    }
+    assert_eq!(get(&at).await.2["status"], "aborted");
+    assert_eq!(post(&jobs, &job(id)).await.2["status"], "aborted");
+    assert_eq!(post(&format!("{jobs}/req-000099/withdraw"), &Value::Null).await.0, 404);
+}
+
+#[actix_web::test]
+async fn without_the_state_service_the_answer_is_503_and_final_states_stay() {
+    let site = site();
+    let node = site.node("one").await;
+    ready(&node).await;
+    let jobs = format!("{node}/api/jobs");
+    post(&jobs, &job("req-000001")).await;
+    post(&jobs, &job("req-000002")).await;
+    post(&format!("{jobs}/req-000002/withdraw"), &Value::Null).await;
+    site.state.lock().unwrap().down = true;
+    for got in [
+        post(&jobs, &job("req-000003")).await,
+        get(&format!("{jobs}/req-000001")).await,
+        get(&format!("{jobs}/req-000003")).await,
+        post(&format!("{jobs}/req-000001/withdraw"), &Value::Null).await,
+    ] {
+        assert_eq!(got.0, 503, "{got:?}");
+        assert_eq!(got.1.as_deref(), Some("1"), "says when to come back");
+    }
+    assert_eq!(get(&format!("{jobs}/req-000002")).await.2["status"], "aborted");
+    assert_eq!(get(&format!("{node}/ready")).await.0, 200, "no flapping when all lack it");
+    site.state.lock().unwrap().down = false;
+    let known = until("back", &format!("{jobs}/req-000001"), |g| g.0 == 200).await;
+    assert_eq!(known.2["status"], "pending");
+    // A submission whose outcome is unknown is not guessed: it was stored, so it is known.
+    site.state.lock().unwrap().lose_next_txn = true;
+    assert_eq!(post(&jobs, &job("req-000004")).await.0, 503);
+    assert_eq!(post(&jobs, &job("req-000004")).await.0, 200);
+}
+
+#[actix_web::test]
+async fn machines_are_rented_stored_and_used_and_followers_point_to_the_leader() {
+    let site = site();
+    let one = site.node("one").await;
+    ready(&one).await;
+    let key = |s: &State| s.keys.get("live/leader").map(|k| k.0["node"].clone());
+    while key(&site.state.lock().unwrap()).is_none() {
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    let two = site.node("two").await;
+    ready(&two).await;
+    // Accepted by a follower, placed by the leader.
+    let jobs = format!("{two}/api/jobs");
+    assert_eq!(post(&jobs, &job("req-000001")).await.0, 201);
+    let rented = loop {
+        let first = site.sky.lock().unwrap().rented.first().cloned();
+        if let Some(name) = first {
+            break name;
+        }
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(20)).await;
+    };
+    let worker = Worker::new(&rented);
+    let (status, _, body) = worker.report(&two).await;
+    assert_eq!((status, &body["foreman"]), (421, &json!("one")));
+    // Nothing is launched before the machine is in the stored set.
+    let stored = format!("fleet/{rented}");
+    let mut launched = false;
+    for _ in 0..200 {
+        let before = site.state.lock().unwrap().keys.contains_key(&stored);
+        let (status, _, body) = worker.report(&one).await;
+        assert_eq!(status, 200);
+        let any = body["orders"].as_array().unwrap().iter().any(|o| o["verb"] == "launch");
+        assert!(!any || launched || before, "launched before it was stored");
+        launched |= any;
+        let (_, _, state) = get(&format!("{jobs}/req-000001")).await;
+        if state["status"] == "done" {
+            assert!(launched);
+            assert_eq!(state["done"], 3);
+            let record = &site.state.lock().unwrap().keys["live/job/req-000001"].0;
+            assert_eq!(record["state"], "done");
+            return;
+        }
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(30)).await;
+    }
+    panic!("the job was not done");
+}
+
+#[actix_web::test]
+async fn nonsense_reports_change_nothing() {
+    let site = site();
+    let node = site.node("one").await;
+    ready(&node).await;
+    let url = format!("{node}/v1/report");
+    for body in [&b"{}"[..], b"", b"null", b"{\"host\":3}", &[b'x'; 300]] {
+        assert_eq!(call("POST", &url, Some(body)).await.0, 400);
+    }
+    assert_eq!(call("POST", &url, Some(&vec![b' '; 70_000])).await.0, 413);
+    let worker = Worker::new("n-000777");
+    let mut report = worker.body();
+    report["pieces"] = json!([{"piece": "req-1", "try": 1, "status": "running"}]);
+    assert_eq!(post(&url, &report).await.0, 400);
+    assert!(site.state.lock().unwrap().keys.keys().all(|k| !k.starts_with("fleet/")));
+}
