Pass users on to a peer while the state service refuses this node alone

A node whose looks fail twice asks a peer that is served to answer (one hop, 1.5 s); with nobody to ask it turns unready; if all lack the service they hear each other, stay ready and answer 503 at once.

--- a/crates/latchtrack-core/src/leader.rs
+++ b/crates/latchtrack-core/src/leader.rs
@@ -1398,7 +1398,7 @@
         }
         candidates.sort_by(|a, b| {
             let (a, b) = (&round.rooms[*a], &round.rooms[*b]);
-            let key = |r: &Room| (!r.spot, r.score);
+            let key = |r: &Room| (self.type_of(&r.kind).map_or(0.0, |t| t.cpus), !r.spot, r.score);
             key(a).partial_cmp(&key(b)).unwrap_or(std::cmp::Ordering::Equal)
         });
         if spec.one_zone {
--- a/crates/latchtrack/src/actors/job_cache.rs
+++ b/crates/latchtrack/src/actors/job_cache.rs
@@ -71,6 +71,11 @@
 #[rtype(result = "bool")]
 pub struct Loaded;
 
+/// Whether the state service serves this node, as far as the last looks tell.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Served;
+
 /// Whom to tell of changes.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -101,6 +106,7 @@
     leading: bool,
     looking: bool,
     last_look: u64,
+    failed: u32,
     timer: Option<SpawnHandle>,
     waiting: Vec<oneshot::Sender<bool>>,
     riding: Vec<oneshot::Sender<bool>>,
@@ -126,6 +132,7 @@
             leading: false,
             looking: false,
             last_look: 0,
+            failed: 0,
             timer: None,
             waiting: Vec::new(),
             riding: Vec::new(),
@@ -181,6 +188,10 @@
             act.looking = false;
             let ok = match result {
                 Ok((seen, sent_at)) => {
+                    if act.failed >= LOOKS_FAILED {
+                        tracing::info!("the state service serves this node again");
+                    }
+                    act.failed = 0;
                     act.take_in(seen, sent_at);
                     true
                 }
@@ -192,6 +203,10 @@
                     tracing::debug!("look at the state service failed: {e}");
                     // Not at once again: it is down, or refuses us.
                     act.last_look = now_ms() + SYNC_RETRY_MS;
+                    act.failed += 1;
+                    if act.failed == LOOKS_FAILED {
+                        tracing::info!("the state service does not serve this node: {e}");
+                    }
                     false
                 }
             };
@@ -351,6 +366,13 @@
     }
 }
 
+impl Handler<Served> for JobCache {
+    type Result = bool;
+    fn handle(&mut self, _: Served, _: &mut Self::Context) -> bool {
+        self.failed < LOOKS_FAILED && self.revision.is_some()
+    }
+}
+
 impl Handler<Learn> for JobCache {
     type Result = ();
     fn handle(&mut self, msg: Learn, _: &mut Self::Context) {
--- a/crates/latchtrack/src/actors/peers.rs
+++ b/crates/latchtrack/src/actors/peers.rs
@@ -1,37 +1,67 @@
-//! What the nodes tell each other: the leader's counts for display. Lost frames are no loss, the
-//! next says the same.
+//! What the nodes tell each other: the leader's counts for display, whether the state service
+//! serves them, and users' requests that a node passes on which it does not serve. One hop only.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix::prelude::*;
+use actix_web::web::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::job_cache::{Counts, JobCache};
+use super::job_cache::{Counts, JobCache, Served};
+use crate::clock::now_ms;
 use crate::constants::*;
+use crate::http::{users, Desk};
 use crate::settings::Settings;
-use crate::wire::peers::{decode, encode, Frame};
+use crate::wire::peers::{decode, encode, Answer, Ask, Frame};
 
 /// A frame for every other node.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct Tell(pub Frame);
 
-/// A frame that came from another node.
+/// Passes a user's request on to a node that the state service serves; None if none answers.
+#[derive(Message)]
+#[rtype(result = "Option<Answer>")]
+pub struct PassOn(pub Ask);
+
+/// Whether another node has been heard lately.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Company;
+
+/// Who answers what other nodes pass on.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Receive(pub Desk);
+
+/// A frame that came from a node.
 #[derive(Message)]
 #[rtype(result = "()")]
-struct Heard(Frame);
+struct Heard {
+    line: usize,
+    frame: Frame,
+}
+
+struct Line {
+    frames: mpsc::Sender<Frame>,
+    heard_at: u64,
+    store: bool,
+}
 
 pub struct Peers {
     listener: Option<TcpListener>,
     addrs: Vec<SocketAddr>,
-    lines: Vec<mpsc::Sender<Vec<u8>>>,
+    lines: Vec<Line>,
     cache: Addr<JobCache>,
     /// Counts of an older term are not shown after those of a newer one.
     token: u64,
+    asked: HashMap<u64, oneshot::Sender<Answer>>,
+    next_id: u64,
 }
 
 impl Peers {
@@ -42,43 +72,97 @@
             lines: Vec::new(),
             cache,
             token: 0,
+            asked: HashMap::new(),
+            next_id: 0,
+        }
+    }
+
+    fn tell(&self, frame: &Frame) {
+        for line in &self.lines {
+            let _ = line.frames.try_send(frame.clone());
         }
     }
 }
 
-fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+type Wire = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn framed(stream: TcpStream) -> Wire {
+    let _ = stream.set_nodelay(true);
     let codec = LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES).new_codec();
     Framed::new(stream, codec)
 }
 
-/// Keeps a connection to one node while there is something to say.
-async fn talk(addr: SocketAddr, mut frames: mpsc::Receiver<Vec<u8>>) {
-    let mut line = None;
-    while let Some(frame) = frames.recv().await {
-        if line.is_none() {
-            let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
-            line = connect.await.ok().and_then(Result::ok).map(framed);
+/// Sends a frame in bounded time; false if the connection is of no more use.
+async fn send(wire: &mut Wire, frame: &Frame) -> bool {
+    let Ok(bytes) = encode(frame) else {
+        tracing::error!("a frame could not be written");
+        return true;
+    };
+    let sent = tokio::time::timeout(CONNECT_TIMEOUT, wire.send(Bytes::from(bytes)));
+    matches!(sent.await, Ok(Ok(())))
+}
+
+/// Keeps a connection to one node while there is something to say, and hears its answers.
+async fn talk(
+    line: usize,
+    addr: SocketAddr,
+    mut frames: mpsc::Receiver<Frame>,
+    peers: Addr<Peers>,
+) {
+    loop {
+        // Nothing is kept for a node that is away: what waits is old by the time it is back.
+        let Some(first) = frames.recv().await else { return };
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+        let Some(mut wire) = connect.await.ok().and_then(Result::ok).map(framed) else { continue };
+        if !send(&mut wire, &first).await {
+            continue;
         }
-        if let Some(l) = &mut line {
-            let sent =
-                tokio::time::timeout(CONNECT_TIMEOUT, l.send(actix_web::web::Bytes::from(frame)));
-            if !matches!(sent.await, Ok(Ok(()))) {
-                line = None;
+        loop {
+            tokio::select! {
+                frame = frames.recv() => {
+                    let Some(frame) = frame else { return };
+                    if !send(&mut wire, &frame).await {
+                        break;
+                    }
+                }
+                bytes = wire.next() => {
+                    let Some(Ok(bytes)) = bytes else { break };
+                    let Some(frame) = decode(&bytes) else { break };
+                    peers.do_send(Heard { line, frame });
+                }
             }
         }
     }
 }
 
-async fn listen(stream: TcpStream, peers: Addr<Peers>) {
-    let mut frames = framed(stream);
+/// Serves the connection of another node.
+async fn listen(stream: TcpStream, peers: Addr<Peers>, cache: Addr<JobCache>, desk: Desk) {
+    let mut wire = framed(stream);
     let idle = Duration::from_secs(KEEP_ALIVE_S);
-    while let Ok(Some(Ok(bytes))) = tokio::time::timeout(idle, frames.next()).await {
-        match decode(&bytes) {
-            Some(frame) => peers.do_send(Heard(frame)),
+    while let Ok(Some(Ok(bytes))) = tokio::time::timeout(idle, wire.next()).await {
+        let reply = match decode(&bytes) {
+            Some(Frame::Ask { id, ask }) => {
+                let answer = users::answer_passed_on(&desk, ask).await;
+                Some(Frame::Answer { id, answer })
+            }
+            // Health is answered by our own, on the same connection.
+            Some(Frame::Health { .. }) => {
+                let store = cache.send(Served).await.unwrap_or(false);
+                Some(Frame::Health { store })
+            }
+            Some(frame) => {
+                peers.do_send(Heard { line: usize::MAX, frame });
+                None
+            }
             None => {
                 tracing::debug!("a garbled frame from another node");
                 return;
             }
+        };
+        if let Some(reply) = reply {
+            if !send(&mut wire, &reply).await {
+                return;
+            }
         }
     }
 }
@@ -87,48 +171,99 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        for addr in &self.addrs {
+        ctx.set_mailbox_capacity(MAILBOX);
+        for (i, addr) in self.addrs.iter().enumerate() {
             let (tx, rx) = mpsc::channel(PEER_QUEUE);
-            self.lines.push(tx);
-            actix_rt::spawn(talk(*addr, rx));
+            self.lines.push(Line { frames: tx, heard_at: 0, store: false });
+            actix_rt::spawn(talk(i, *addr, rx, ctx.address()));
         }
-        if let Some(listener) = self.listener.take() {
-            let me = ctx.address();
-            actix_rt::spawn(async move {
-                loop {
-                    match listener.accept().await {
-                        Ok((stream, _)) => {
-                            actix_rt::spawn(listen(stream, me.clone()));
-                        }
-                        Err(_) => tokio::time::sleep(CONNECT_TIMEOUT).await,
+        ctx.run_interval(Duration::from_millis(HEALTH_MS), |act, _| {
+            act.tell(&Frame::Health { store: true });
+        });
+    }
+}
+
+impl Handler<Receive> for Peers {
+    type Result = ();
+    fn handle(&mut self, msg: Receive, ctx: &mut Self::Context) {
+        let Some(listener) = self.listener.take() else { return };
+        let (me, cache) = (ctx.address(), self.cache.clone());
+        actix_rt::spawn(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => {
+                        actix_rt::spawn(listen(stream, me.clone(), cache.clone(), msg.0.clone()));
                     }
+                    Err(_) => tokio::time::sleep(CONNECT_TIMEOUT).await,
                 }
-            });
-        }
+            }
+        });
     }
 }
 
 impl Handler<Tell> for Peers {
     type Result = ();
     fn handle(&mut self, msg: Tell, _: &mut Self::Context) {
-        match encode(&msg.0) {
-            Ok(bytes) => {
-                for line in &self.lines {
-                    let _ = line.try_send(bytes.clone());
-                }
-            }
-            Err(e) => tracing::error!("a frame could not be written: {e}"),
+        self.tell(&msg.0);
+    }
+}
+
+impl Handler<Company> for Peers {
+    type Result = bool;
+    fn handle(&mut self, _: Company, _: &mut Self::Context) -> bool {
+        let now = now_ms();
+        self.lines.iter().any(|l| l.heard_at > 0 && now < l.heard_at + HEALTH_OLD_MS)
+    }
+}
+
+impl Handler<PassOn> for Peers {
+    type Result = ResponseActFuture<Self, Option<Answer>>;
+
+    fn handle(&mut self, msg: PassOn, _: &mut Self::Context) -> Self::Result {
+        let now = now_ms();
+        let line = self
+            .lines
+            .iter()
+            .filter(|l| l.store && now < l.heard_at + HEALTH_OLD_MS)
+            .max_by_key(|l| l.heard_at);
+        let Some(line) = line else { return Box::pin(fut::ready(None)) };
+        self.next_id += 1;
+        let id = self.next_id;
+        if line.frames.try_send(Frame::Ask { id, ask: msg.0 }).is_err() {
+            return Box::pin(fut::ready(None));
         }
+        let (tx, rx) = oneshot::channel();
+        self.asked.insert(id, tx);
+        let wait = tokio::time::timeout(PASS_ON_TIMEOUT, rx);
+        Box::pin(wait.into_actor(self).map(move |answer, act, _| {
+            act.asked.remove(&id);
+            answer.ok().and_then(Result::ok)
+        }))
     }
 }
 
 impl Handler<Heard> for Peers {
     type Result = ();
     fn handle(&mut self, msg: Heard, _: &mut Self::Context) {
-        let Frame::Progress { token, jobs } = msg.0;
-        if token >= self.token {
-            self.token = token;
-            self.cache.do_send(Counts(jobs));
+        match msg.frame {
+            Frame::Progress { token, jobs } => {
+                if token >= self.token {
+                    self.token = token;
+                    self.cache.do_send(Counts(jobs));
+                }
+            }
+            Frame::Health { store } => {
+                if let Some(line) = self.lines.get_mut(msg.line) {
+                    line.heard_at = now_ms();
+                    line.store = store;
+                }
+            }
+            Frame::Answer { id, answer } => {
+                if let Some(tx) = self.asked.remove(&id) {
+                    let _ = tx.send(answer);
+                }
+            }
+            Frame::Ask { .. } => {}
         }
     }
 }
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -76,10 +76,18 @@
 pub const PROGRESS_MS: u64 = 1_000;
 /// Jobs in one such message: the rest show as pending on followers.
 pub const PROGRESS_JOBS: usize = 4_000;
+/// ms between two questions whether the state service serves another node.
+pub const HEALTH_MS: u64 = 1_000;
+/// ms after which an answer to it counts no more.
+pub const HEALTH_OLD_MS: u64 = 3_500;
+/// Looks that fail in a row before a node holds that the state service does not serve it.
+pub const LOOKS_FAILED: u32 = 2;
+/// A request passed on to another node: users wait 2 s for a poll.
+pub const PASS_ON_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Bytes of the largest frame between nodes.
 pub const FRAME_BYTES: usize = 256 * 1024;
-/// Frames waiting for a node; more are dropped, since the next says the same.
-pub const PEER_QUEUE: usize = 4;
+/// Frames waiting for a node; more are refused.
+pub const PEER_QUEUE: usize = 64;
 
 /// Bytes of the largest request body (the protocol's bound).
 pub const BODY_BYTES: usize = 64 * 1024;
--- a/crates/latchtrack/src/http/mod.rs
+++ b/crates/latchtrack/src/http/mod.rs
@@ -12,6 +12,7 @@
 use crate::actors::intake::Intake;
 use crate::actors::job_cache::JobCache;
 use crate::actors::leader::Leader;
+use crate::actors::peers::Peers;
 use crate::constants::{BODY_BYTES, RETRY_AFTER_S};
 use crate::wire::users::ErrorAnswer;
 
@@ -21,6 +22,9 @@
     pub cache: Addr<JobCache>,
     pub intake: Addr<Intake>,
     pub leader: Addr<Leader>,
+    pub peers: Addr<Peers>,
+    /// The only node of the service.
+    pub alone: bool,
 }
 
 /// The routes.
--- a/crates/latchtrack/src/http/users.rs
+++ b/crates/latchtrack/src/http/users.rs
@@ -1,12 +1,16 @@
 //! Submit, query, withdraw, ready.
 
+use actix_web::body::to_bytes;
+use actix_web::http::header::RETRY_AFTER;
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 use latchtrack_core::job::JobId;
 
 use super::{body, later, refuse, Desk};
 use crate::actors::intake::{Able, Submit, Submitted, Withdraw, Withdrawn};
-use crate::actors::job_cache::{Loaded, Look, View};
+use crate::actors::job_cache::{Loaded, Look, Served, View};
+use crate::actors::peers::{Company, PassOn};
+use crate::wire::peers::{Answer, Ask};
 use crate::wire::records::Record;
 use crate::wire::users::{parse_id, parse_job, JobAnswer, State};
 
@@ -28,11 +32,60 @@
 }
 
 pub async fn submit(desk: web::Data<Desk>, payload: web::Payload) -> HttpResponse {
-    let bytes = match body(payload).await {
-        Ok(b) => b,
-        Err(answer) => return answer,
-    };
-    submit_body(&desk, &bytes).await.unwrap_or_else(|answer| answer)
+    match body(payload).await {
+        Ok(bytes) => answer(&desk, Ask::Submit(bytes)).await,
+        Err(answer) => answer,
+    }
+}
+
+pub async fn query(desk: web::Data<Desk>, id: web::Path<String>) -> HttpResponse {
+    answer(&desk, Ask::Query(id.into_inner())).await
+}
+
+pub async fn withdraw(desk: web::Data<Desk>, id: web::Path<String>) -> HttpResponse {
+    answer(&desk, Ask::Withdraw(id.into_inner())).await
+}
+
+/// Answers here, or, where the state service does not serve this node alone, by another node.
+async fn answer(desk: &Desk, ask: Ask) -> HttpResponse {
+    if !served(desk).await {
+        if let Some(answer) = pass_on(desk, ask.clone()).await {
+            return answer;
+        }
+        // All lack it, or nobody is there: what can be said here is said at once.
+    }
+    answer_here(desk, ask).await
+}
+
+async fn served(desk: &Desk) -> bool {
+    desk.cache.send(Served).await.unwrap_or(false)
+}
+
+async fn pass_on(desk: &Desk, ask: Ask) -> Option<HttpResponse> {
+    let answer = desk.peers.send(PassOn(ask)).await.ok()??;
+    let mut response = HttpResponse::build(StatusCode::from_u16(answer.status).ok()?);
+    if let Some(s) = answer.retry_after {
+        response.insert_header((RETRY_AFTER, s.to_string()));
+    }
+    Some(response.content_type("application/json").body(answer.body))
+}
+
+/// Answers what another node has passed on; never passes it on again.
+pub async fn answer_passed_on(desk: &Desk, ask: Ask) -> Answer {
+    let response = answer_here(desk, ask).await;
+    let status = response.status().as_u16();
+    let header = response.headers().get(RETRY_AFTER).and_then(|v| v.to_str().ok());
+    let retry_after = header.and_then(|v| v.parse().ok());
+    let body = to_bytes(response.into_body()).await.map(|b| b.to_vec()).unwrap_or_default();
+    Answer { status, retry_after, body }
+}
+
+async fn answer_here(desk: &Desk, ask: Ask) -> HttpResponse {
+    match ask {
+        Ask::Submit(bytes) => submit_body(desk, &bytes).await.unwrap_or_else(|answer| answer),
+        Ask::Query(id) => query_id(desk, &id).await,
+        Ask::Withdraw(id) => withdraw_id(desk, &id).await,
+    }
 }
 
 async fn submit_body(desk: &Desk, bytes: &[u8]) -> Result<HttpResponse, HttpResponse> {
@@ -75,18 +128,18 @@
     }
 }
 
-pub async fn query(desk: web::Data<Desk>, id: web::Path<String>) -> HttpResponse {
+async fn query_id(desk: &Desk, id: &str) -> HttpResponse {
     let Ok(id) = id.parse::<JobId>() else {
         return refuse(StatusCode::NOT_FOUND, "no such job");
     };
-    match look(&desk, id, true).await {
+    match look(desk, id, true).await {
         Ok(Some(v)) => HttpResponse::Ok().json(JobAnswer::counts(id, state(&v), v.done, v.running)),
         Ok(None) => refuse(StatusCode::NOT_FOUND, "no such job"),
         Err(answer) => answer,
     }
 }
 
-pub async fn withdraw(desk: web::Data<Desk>, id: web::Path<String>) -> HttpResponse {
+async fn withdraw_id(desk: &Desk, id: &str) -> HttpResponse {
     let Ok(id) = id.parse::<JobId>() else {
         return refuse(StatusCode::NOT_FOUND, "no such job");
     };
@@ -101,7 +154,11 @@
 pub async fn ready(desk: web::Data<Desk>) -> HttpResponse {
     let loaded = desk.cache.send(Loaded).await.unwrap_or(false);
     let able = desk.intake.send(Able).await.unwrap_or(false);
-    if loaded && able {
+    // Alone without the state service and without another node to pass requests on to: others
+    // will do better. If all lack it they hear each other and stay.
+    let useful =
+        served(&desk).await || desk.peers.send(Company).await.unwrap_or(false) || desk.alone;
+    if loaded && able && useful {
         HttpResponse::Ok().finish()
     } else {
         later("starting")
--- a/crates/latchtrack/src/node.rs
+++ b/crates/latchtrack/src/node.rs
@@ -8,7 +8,7 @@
 use crate::actors::intake::Intake;
 use crate::actors::job_cache::{JobCache, Listeners};
 use crate::actors::leader::{ElectionAt, Leader};
-use crate::actors::peers::Peers;
+use crate::actors::peers::{Peers, Receive};
 use crate::actors::store::Store;
 use crate::constants::SOCKETS_USED;
 use crate::http::{server, Desk};
@@ -30,7 +30,8 @@
     let cloud = Cloud::new(&settings).start();
     let peers = Peers::new(&settings, peers, cache.clone()).start();
     let intake = Intake::new(store.clone(), cache.clone(), &settings).start();
-    let leader = Leader::new(store.clone(), cache.clone(), cloud.clone(), peers, &settings).start();
+    let leader =
+        Leader::new(store.clone(), cache.clone(), cloud.clone(), peers.clone(), &settings).start();
     let election = Election::new(
         store,
         cache.clone(),
@@ -43,5 +44,8 @@
     cache.do_send(Listeners { election, leader: leader.clone() });
     cloud.do_send(Customers { intake: intake.clone(), leader: leader.clone() });
     let sockets = settings.platform.params.limits.max_sockets as f64 * SOCKETS_USED;
-    server::serve(users, Desk { cache, intake, leader }, sockets as usize).await;
+    let alone = settings.platform.peers.is_empty();
+    let desk = Desk { cache, intake, leader, peers: peers.clone(), alone };
+    peers.do_send(Receive(desk.clone()));
+    server::serve(users, desk, sockets as usize).await;
 }
--- a/crates/latchtrack/src/wire/peers.rs
+++ b/crates/latchtrack/src/wire/peers.rs
@@ -7,6 +7,29 @@
 pub enum Frame {
     /// The leader's counts of tasks done and running, for display.
     Progress { token: u64, jobs: Vec<(u64, u32, u32)> },
+    /// Whether the sender is served by the state service.
+    Health { store: bool },
+    /// A user's request, passed on by a node that the state service does not serve.
+    Ask { id: u64, ask: Ask },
+    /// Its answer.
+    Answer { id: u64, answer: Answer },
+}
+
+/// A user's request.
+#[derive(Encode, Decode, Debug, PartialEq, Clone)]
+pub enum Ask {
+    Submit(Vec<u8>),
+    Query(String),
+    Withdraw(String),
+}
+
+/// The answer to a user's request.
+#[derive(Encode, Decode, Debug, PartialEq, Clone)]
+pub struct Answer {
+    pub status: u16,
+    /// s to wait before the next try.
+    pub retry_after: Option<u64>,
+    pub body: Vec<u8>,
 }
 
 /// Writes a frame.
@@ -47,5 +70,12 @@
                 assert!(jobs.len() * 3 <= noise.len());
             }
         }
+        let ask = Frame::Ask { id: 3, ask: Ask::Submit(vec![b'{'; 70]) };
+        assert_eq!(decode(&encode(&ask).unwrap()), Some(ask));
+        // A length that promises more than there is must not be believed.
+        let mut huge = encode(&Frame::Ask { id: 1, ask: Ask::Query("x".into()) }).unwrap();
+        let last = huge.len() - 2;
+        huge[last] = 252;
+        assert_eq!(decode(&huge), None);
     }
 }
--- a/crates/latchtrack/tests/faces.rs
+++ b/crates/latchtrack/tests/faces.rs
@@ -164,3 +164,27 @@
     assert_eq!(post(&url, &report).await.0, 400);
     assert!(site.state.lock().unwrap().keys.keys().all(|k| !k.starts_with("fleet/")));
 }
+
+#[actix_web::test]
+async fn a_node_refused_by_the_state_service_alone_passes_users_on() {
+    use std::sync::atomic::Ordering::Relaxed;
+    let site = site();
+    let [one, two] = site.pair().await;
+    ready(&one).await;
+    ready(&two).await;
+    let jobs = format!("{one}/api/jobs");
+    assert_eq!(post(&jobs, &job("req-000001")).await.0, 201);
+    site.refused[0].store(true, Relaxed);
+    let at = format!("{jobs}/req-000001");
+    until("passed on", &at, |g| g.0 == 200).await;
+    assert_eq!(post(&jobs, &job("req-000002")).await.0, 201, "accepted by the other");
+    assert_eq!(get(&format!("{two}/api/jobs/req-000002")).await.0, 200);
+    assert_eq!(post(&format!("{at}/withdraw"), &Value::Null).await.2["status"], "aborted");
+    assert_eq!(get(&format!("{jobs}/req-000099")).await.0, 404);
+    assert_eq!(get(&format!("{one}/ready")).await.0, 200);
+    // When both are refused, nothing is passed round; the answer comes at once.
+    site.refused[1].store(true, Relaxed);
+    let got = until("refused", &format!("{jobs}/req-000002"), |g| g.0 == 503).await;
+    assert_eq!(got.1.as_deref(), Some("1"));
+    assert_eq!(get(&format!("{two}/ready")).await.0, 200, "they hear each other and stay");
+}
--- a/crates/latchtrack/tests/standins/mod.rs
+++ b/crates/latchtrack/tests/standins/mod.rs
@@ -3,6 +3,10 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use actix_web::dev::Service;
 
 use actix_web::{web, App, HttpResponse, HttpServer};
 use latchtrack::node;
@@ -187,27 +191,18 @@
 pub struct Site {
     pub state: Shared<State>,
     pub sky: Shared<Sky>,
-    ports: (u16, u16),
+    /// Refuses the nodes behind the first or the second door.
+    pub refused: [Arc<AtomicBool>; 2],
+    doors: [u16; 2],
+    cloud: u16,
 }
 
 /// Starts state service and cloud.
 pub fn site() -> Site {
     let state: Shared<State> = Default::default();
     let sky: Shared<Sky> = Default::default();
-    let s = state.clone();
-    let store = HttpServer::new(move || {
-        App::new()
-            .app_data(web::Data::new(s.clone()))
-            .route("/store", web::get().to(list))
-            .route("/watch", web::get().to(watch))
-            .route("/txn", web::post().to(txn))
-            .route("/grants", web::post().to(grant))
-            .route("/grants/{id}/renew", web::post().to(renew))
-            .route("/grants/{id}", web::delete().to(end))
-    })
-    .workers(1)
-    .bind(("127.0.0.1", 0))
-    .unwrap();
+    let refused: [Arc<AtomicBool>; 2] = Default::default();
+    let doors = [0, 1].map(|i| door(state.clone(), refused[i].clone()));
     let s = sky.clone();
     let cloud = HttpServer::new(move || {
         App::new()
@@ -220,25 +215,81 @@
     .workers(1)
     .bind(("127.0.0.1", 0))
     .unwrap();
-    let ports = (store.addrs()[0].port(), cloud.addrs()[0].port());
-    actix_web::rt::spawn(store.run());
+    let cloud_port = cloud.addrs()[0].port();
     actix_web::rt::spawn(cloud.run());
-    Site { state, sky, ports }
+    Site { state, sky, refused, doors, cloud: cloud_port }
+}
+
+/// A way to the state service, which can be refused by itself.
+fn door(state: Shared<State>, refused: Arc<AtomicBool>) -> u16 {
+    let server = HttpServer::new(move || {
+        let refused = refused.clone();
+        App::new()
+            .wrap_fn(move |req, service| {
+                let refused = refused.load(Ordering::Relaxed);
+                let answer = (!refused).then(|| service.call(req));
+                async move {
+                    match answer {
+                        Some(answer) => answer.await,
+                        None => Err(actix_web::error::ErrorServiceUnavailable("refused")),
+                    }
+                }
+            })
+            .app_data(web::Data::new(state.clone()))
+            .route("/store", web::get().to(list))
+            .route("/watch", web::get().to(watch))
+            .route("/txn", web::post().to(txn))
+            .route("/grants", web::post().to(grant))
+            .route("/grants/{id}/renew", web::post().to(renew))
+            .route("/grants/{id}", web::delete().to(end))
+    })
+    .workers(1)
+    .bind(("127.0.0.1", 0))
+    .unwrap();
+    let port = server.addrs()[0].port();
+    actix_web::rt::spawn(server.run());
+    port
 }
 
 impl Site {
     /// Starts a node; returns where users and workers find it.
     pub async fn node(&self, name: &str) -> String {
-        let users = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let peers = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        self.start(name, 0, peers, &[]).await
+    }
+
+    /// Starts two nodes that know each other, each behind a door of its own.
+    pub async fn pair(&self) -> [String; 2] {
+        let one = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let two = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = |l: &TcpListener| l.local_addr().unwrap().to_string();
+        let (a, b) = (at(&one), at(&two));
+        [
+            self.start("one", 0, one, &[("two", &b)]).await,
+            self.start("two", 1, two, &[("one", &a)]).await,
+        ]
+    }
+
+    async fn start(
+        &self,
+        name: &str,
+        door: usize,
+        peers: TcpListener,
+        others: &[(&str, &String)],
+    ) -> String {
+        let users = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let at = format!("http://{}", users.local_addr().unwrap());
+        let others: Vec<Value> = others
+            .iter()
+            .map(|(name, at)| json!({"node_name": name, "domain": "a", "endpoint": at}))
+            .collect();
         let platform: Platform = serde_json::from_value(json!({
             "node_name": name, "domain": "a",
             "bind": users.local_addr().unwrap().to_string(),
             "peer_bind": peers.local_addr().unwrap().to_string(),
-            "others": [],
-            "external": {"state": format!("127.0.0.1:{}", self.ports.0),
-                         "cloud": format!("127.0.0.1:{}", self.ports.1)},
+            "others": others,
+            "external": {"state": format!("127.0.0.1:{}", self.doors[door]),
+                         "cloud": format!("127.0.0.1:{}", self.cloud)},
             "params": {"zones": ["a"],
                 "teams": [{"name": "team"}, {"name": "small", "cpus_max": 2.0}],
                 "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 20.0},
