--- a/crates/latchtrack-core/src/leader.rs
+++ b/crates/latchtrack-core/src/leader.rs
@@ -9,7 +9,7 @@
 //!   forgotten in that session.
 
 use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use crate::bitmap::Bitmap;
@@ -261,6 +261,8 @@
     no_ready: HashSet<Shape>,
     no_promise: HashSet<Shape>,
     no_offer: HashSet<Shape>,
+    /// Waiting tasks of the jobs not yet looked at, by shape.
+    to_come: HashMap<Shape, u32>,
     /// CPUs and GPUs in use of teams that have a limit.
     used: BTreeMap<String, (f64, f64)>,
     /// A run of unknown size and team is somewhere.
@@ -798,6 +800,9 @@
                 continue;
             }
             if let Some(m) = self.machines.remove(&name) {
+                // What went back can be had again.
+                let offer = Offer { kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot };
+                self.exhausted.remove(&offer);
                 for run in m.runs.values().filter(|r| r.live()) {
                     self.released(&name, run);
                 }
@@ -1171,6 +1176,7 @@
             no_ready: HashSet::new(),
             no_promise: HashSet::new(),
             no_offer: HashSet::new(),
+            to_come: HashMap::new(),
             used,
             unknown_runs,
         };
@@ -1203,6 +1209,9 @@
         order.sort_by(by_rank);
         self.step_back(now, &mut order, &round.total);
         order.sort_by(by_rank);
+        for job in order.iter().filter_map(|(_, id)| self.jobs.get(id)) {
+            *round.to_come.entry(Shape::of(&job.spec)).or_default() += job.waiting();
+        }
         for (_, id) in order {
             self.place_job(now, id, &mut round);
         }
@@ -1323,6 +1332,9 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let spec = job.spec.clone();
         let shape = Shape::of(&spec);
+        if let Some(n) = round.to_come.get_mut(&shape) {
+            *n = n.saturating_sub(job.waiting());
+        }
         let waiting = job.waiting().min(self.limit_left(&spec, round));
         if waiting == 0 {
             return;
@@ -1509,7 +1521,13 @@
         };
         let Some(t) = self.type_of(&offer.kind).cloned() else { return 0 };
         let per_machine = t.holds(&spec.demand).max(1);
-        let number = left.div_ceil(per_machine).min(HIRE_MOST);
+        // Like tasks are decided as a class: one call for all of this shape, not one a job. Team
+        // limits are left to each job.
+        let alike = match self.limit_left(spec, round) {
+            u32::MAX => round.to_come.get(&Shape::of(spec)).copied().unwrap_or(0),
+            _ => 0,
+        };
+        let number = left.saturating_add(alike).div_ceil(per_machine).min(HIRE_MOST);
         self.next_hire += 1;
         self.rotate = self.rotate.wrapping_add(1);
         let hire = format!("h-{}-{}", self.token, self.next_hire);
--- a/crates/latchtrack/src/actors/cloud.rs
+++ b/crates/latchtrack/src/actors/cloud.rs
@@ -77,7 +77,7 @@
         let now = now_ms();
         let gone = now.saturating_sub(self.filled_at) as f64 / 1000.0;
         // Bursts of two seconds are allowed; the other nodes may want part of it.
-        self.budget = (self.budget + gone * self.rate).min(self.rate.max(1.0));
+        self.budget = (self.budget + gone * self.rate).min((1.5 * self.rate).max(1.0));
         self.filled_at = now;
         while self.budget >= 1.0 {
             let Some(errand) = self.queue.pop_front() else { return };
