--- /dev/null
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -0,0 +1,253 @@
+//! Renting and returning machines, and giving up those that are silent, late or idle.
+
+use super::*;
+
+impl Cluster {
+    pub(super) fn on_hired(&mut self, now: Millis, hire: &str, outcome: HireOutcome) {
+        let Some(h) = self.hires.remove(hire) else { return };
+        match outcome {
+            HireOutcome::Machines(names) => {
+                if (names.len() as u32) < h.number {
+                    self.exhausted.insert(h.offer.clone(), now + EXHAUSTED_MS);
+                }
+                for name in names {
+                    if self.gone.contains(&name) {
+                        continue;
+                    }
+                    let o = &h.offer;
+                    self.machines
+                        .entry(name.clone())
+                        .or_insert_with(|| new_machine(&name, &o.kind, &o.zone, o.spot, now));
+                }
+            }
+            HireOutcome::NoCapacity => {
+                self.exhausted.insert(h.offer, now + EXHAUSTED_MS);
+            }
+            HireOutcome::NotDone => {}
+            HireOutcome::Lost => {
+                // The name must not be used for anything else, and may have rented machines:
+                // asked again, it names them or rents them now.
+                self.out.push(Effect::Hire {
+                    hire: hire.to_string(),
+                    offer: h.offer.clone(),
+                    number: h.number,
+                });
+                self.hires.insert(hire.to_string(), h);
+            }
+        }
+        self.replan = true;
+    }
+
+    pub(super) fn on_returned(&mut self, now: Millis, names: Vec<String>, ok: bool) {
+        for name in names {
+            if !ok {
+                if let Some(m) = self.machines.get_mut(&name) {
+                    m.deleting = false;
+                }
+                continue;
+            }
+            if let Some(m) = self.machines.remove(&name) {
+                // What went back can be had again.
+                let offer = Offer { kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot };
+                self.exhausted.remove(&offer);
+                for run in m.runs.values().filter(|r| r.live()) {
+                    self.released(&name, run);
+                }
+                self.dirty_machines.remove(&name);
+                if m.stored {
+                    self.dropped_machines.insert(name.clone());
+                }
+            }
+            self.remember_gone(name);
+        }
+        self.replan = true;
+        if self.plan_due(now) {
+            self.plan(now);
+            self.flush(now, None);
+        }
+    }
+
+    pub(super) fn remember_gone(&mut self, name: String) {
+        if self.gone.insert(name.clone()) {
+            self.gone_order.push_back(name);
+            if self.gone_order.len() > GONE_KEPT {
+                if let Some(old) = self.gone_order.pop_front() {
+                    self.gone.remove(&old);
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_listed(&mut self, now: Millis, listed: Vec<Listed>) {
+        for l in listed {
+            if self.gone.contains(&l.name) {
+                continue;
+            }
+            match self.machines.get_mut(&l.name) {
+                Some(m) => {
+                    if l.failed && !m.leaving {
+                        m.leaving = true;
+                        self.out.push(Effect::Note(format!("machine {} failed", l.name)));
+                    }
+                }
+                None => {
+                    let mut m = new_machine(&l.name, &l.kind, &l.zone, l.spot, now);
+                    m.rented_at = now.saturating_sub(l.age_ms);
+                    m.leaving = l.failed;
+                    self.machines.insert(l.name.clone(), m);
+                    self.replan = true;
+                    self.out
+                        .push(Effect::Note(format!("machine {} adopted from the list", l.name)));
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_tick(&mut self, now: Millis) {
+        self.exhausted.retain(|_, until| *until > now);
+        self.watch_silence(now);
+        self.watch_notices(now);
+        self.watch_idle(now);
+        if self.plan_due(now) {
+            self.plan(now);
+        }
+        self.flush(now, None);
+    }
+
+    pub(super) fn type_of(&self, kind: &str) -> Option<&MachineType> {
+        self.types.iter().find(|t| t.name == kind)
+    }
+
+    pub(super) fn boot_limit(&self, kind: &str, times: f64) -> Millis {
+        let boot_s = self.type_of(kind).map_or(60.0, |t| t.boot_s);
+        (boot_s * times * 1000.0) as Millis + BOOT_GRACE_MS
+    }
+
+    pub(super) fn watch_silence(&mut self, now: Millis) {
+        let silence = |m: &Machine| match m.heard {
+            Some(h) => Some(now.saturating_sub(h)),
+            None if m.unsettled => Some(now.saturating_sub(self.took_over)),
+            None => None,
+        };
+        let limit = |m: &Machine| {
+            if m.unsettled {
+                self.policy.settle_ms
+            } else {
+                self.policy.silence_ms
+            }
+        };
+        let known = self.machines.values().filter(|m| silence(m).is_some()).count();
+        let silent: Vec<(String, Millis)> = self
+            .machines
+            .values()
+            .filter(|m| !m.leaving)
+            .filter_map(|m| silence(m).filter(|s| *s >= limit(m)).map(|s| (m.name.clone(), s)))
+            .collect();
+        // Many at once: rather a cut between us and them than that many dead machines. Deleting
+        // them would throw their work away; past its lease a machine has none left.
+        let cut = known >= SILENT_LEAST && silent.len() as f64 > known as f64 * SILENT_SHARE;
+        // A machine heard in this term shows that we were heard once. A new leader that hears none
+        // must not resign: the next would do the same for ever, with nobody to settle them.
+        let heard_once = self.machines.values().any(|m| m.up());
+        let past_lease = self.policy.lease_ms + LEASE_MARGIN_MS;
+        if cut
+            && heard_once
+            && silent.len() == known
+            && now.saturating_sub(self.took_over) > self.policy.silence_ms + self.policy.settle_ms
+        {
+            self.out.push(Effect::Resign("no machine is heard any more"));
+        }
+        for (name, s) in silent {
+            if cut && s < past_lease {
+                continue;
+            }
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.leaving = true;
+                self.out.push(Effect::Note(format!("machine {name} silent for {s} ms, given up")));
+            }
+        }
+    }
+
+    /// A machine that is to be taken: tasks that can save do so now, the others finish if they can.
+    pub(super) fn watch_notices(&mut self, now: Millis) {
+        for m in self.machines.values_mut().filter(|m| m.notice_at.is_some()) {
+            for run in m.runs.values_mut().filter(|r| r.phase == Phase::Running) {
+                let Some(spec) = &run.spec else { continue };
+                if spec.checkpoint_s > 0.0 && run.stop.is_none() {
+                    run.stop = Some(Stop { grace_s: spec.save_s + 1.0, sent_at: None });
+                }
+            }
+        }
+        let _ = now;
+    }
+
+    pub(super) fn watch_idle(&mut self, now: Millis) {
+        let mut back = Vec::new();
+        let limits: BTreeMap<String, Millis> = self
+            .types
+            .iter()
+            .map(|t| (t.name.clone(), self.boot_limit(&t.name, BOOT_NEVER)))
+            .collect();
+        for m in self.machines.values_mut().filter(|m| !m.deleting) {
+            let no_runs = !m.runs.values().any(Run::live);
+            // A result that is not stored is lost with its machine.
+            let owes = m.runs.values().any(|r| {
+                r.phase == Phase::Ended(Cause::Done)
+                    && self.jobs.get(&r.task.job).is_some_and(|j| !j.stored.get(r.task.index))
+            });
+            if !m.up() && !m.unsettled && !m.leaving {
+                let limit = limits.get(&m.kind).copied().unwrap_or(BOOT_GRACE_MS * 6);
+                if now.saturating_sub(m.rented_at) > limit {
+                    m.leaving = true;
+                    self.out.push(Effect::Note(format!("machine {} never came up", m.name)));
+                }
+            }
+            if m.up() && !m.unsettled && no_runs && !m.leaving {
+                let since = *m.empty_since.get_or_insert(now);
+                let wait = if m.spot {
+                    self.policy.idle_wait_ms
+                } else {
+                    self.policy.ordinary_idle_wait_ms
+                };
+                if m.notice_at.is_some() || now.saturating_sub(since) >= wait {
+                    m.leaving = true;
+                }
+            }
+            let hears_us = m.heard.is_some_and(|h| now.saturating_sub(h) < self.policy.silence_ms);
+            if m.leaving && !(owes && hears_us) {
+                m.deleting = true;
+                back.push(m.name.clone());
+            }
+        }
+        if !back.is_empty() {
+            self.out.push(Effect::Return(back));
+        }
+    }
+}
+
+pub(super) fn new_machine(name: &str, kind: &str, zone: &str, spot: bool, now: Millis) -> Machine {
+    Machine {
+        name: name.to_string(),
+        kind: kind.to_string(),
+        zone: zone.to_string(),
+        spot,
+        addr: None,
+        rented_at: now,
+        stored: false,
+        storing: false,
+        unsettled: false,
+        newest: (0, 0),
+        heard: None,
+        answered: None,
+        notice_at: None,
+        runs: BTreeMap::new(),
+        call: None,
+        call_after: 0,
+        leaving: false,
+        deleting: false,
+        empty_since: None,
+        failed_jobs: BTreeSet::new(),
+        probation_until: 0,
+        images: BTreeSet::new(),
+    }
+}
--- /dev/null
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -0,0 +1,352 @@
+//! What machines say and are told: reports, their answers, direct calls.
+
+use std::collections::btree_map::Entry;
+use std::collections::HashSet;
+
+use super::*;
+
+impl Cluster {
+    pub(super) fn on_report(&mut self, now: Millis, r: &Report) {
+        if self.gone.contains(&r.machine) {
+            // A late report of a machine that is surely gone.
+            self.out.push(Effect::Answer(Vec::new()));
+            return;
+        }
+        if !self.machines.contains_key(&r.machine) {
+            // A rental that was executed late, or whose answer was lost. It is not in the stored
+            // set, so no leader has launched anything on it.
+            let m = new_machine(&r.machine, &r.kind, &r.zone, r.spot, now);
+            self.machines.insert(r.machine.clone(), m);
+            self.out.push(Effect::Note(format!("machine {} adopted from its report", r.machine)));
+        }
+        if r.token > self.token {
+            self.out.push(Effect::Resign("a machine holds a higher token"));
+            return;
+        }
+        if !self.apply(now, r) {
+            self.out.push(Effect::Answer(Vec::new()));
+            return;
+        }
+        if self.plan_due(now) {
+            self.plan(now);
+        }
+        let answer = self.answer(now, &r.machine);
+        self.out.push(Effect::Answer(answer));
+        self.flush(now, Some(&r.machine));
+    }
+
+    /// Takes in what a machine says; false if it is old news.
+    pub(super) fn apply(&mut self, now: Millis, r: &Report) -> bool {
+        let Some(m) = self.machines.get_mut(&r.machine) else { return false };
+        if (r.session, r.seq) <= m.newest {
+            return false;
+        }
+        let first = m.heard.is_none();
+        let moved = r.session > m.newest.0;
+        m.newest = (r.session, r.seq);
+        m.heard = Some(now);
+        m.addr = Some(r.addr.clone());
+        m.notice_at = r.notice_s.map(|s| now + (s.max(0.0) * 1000.0) as Millis);
+        if first {
+            self.replan = true;
+            if !m.stored && !m.storing {
+                self.dirty_machines.insert(r.machine.clone());
+            }
+        }
+        if moved && !m.runs.is_empty() {
+            // The worker's lease ran out: it has killed and forgotten everything, and late
+            // commands for the old session are void.
+            let runs = std::mem::take(&mut m.runs);
+            self.out.push(Effect::Note(format!(
+                "machine {} lost {} runs with its lease",
+                r.machine,
+                runs.len()
+            )));
+            for run in runs.into_values() {
+                self.released(&r.machine, &run);
+            }
+            self.replan = true;
+        }
+        let Some(m) = self.machines.get_mut(&r.machine) else { return false };
+        if m.unsettled {
+            if r.token < self.token {
+                // Proves nothing: a command of an earlier leader may arrive after it was sent.
+                return true;
+            }
+            m.unsettled = false;
+            self.replan = true;
+        }
+        let listed: HashSet<(TaskId, u64)> = r.tasks.iter().map(|t| (t.task, t.attempt)).collect();
+        let vanished: Vec<(TaskId, u64)> = m
+            .runs
+            .iter()
+            .filter(|(k, run)| run.phase != Phase::Assigned && !listed.contains(k))
+            .map(|(k, _)| *k)
+            .collect();
+        for key in vanished {
+            if let Some(run) = self.machines.get_mut(&r.machine).and_then(|m| m.runs.remove(&key)) {
+                if run.live() {
+                    self.released(&r.machine, &run);
+                }
+            }
+        }
+        for t in &r.tasks {
+            self.apply_task(now, &r.machine, t);
+        }
+        self.touch_empty(now, &r.machine);
+        true
+    }
+
+    pub(super) fn apply_task(&mut self, now: Millis, machine: &str, t: &TaskReport) {
+        let key = (t.task, t.attempt);
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        let run = match m.runs.entry(key) {
+            Entry::Occupied(run) => run.into_mut(),
+            Entry::Vacant(free) => {
+                let job = self.jobs.get_mut(&t.task.job).filter(|j| t.task.index < j.spec.tasks);
+                free.insert(adopt(machine, t, job))
+            }
+        };
+        if !run.live() || run.phase == t.phase {
+            return;
+        }
+        run.phase = t.phase;
+        if t.phase == Phase::Running {
+            run.running_since.get_or_insert(now);
+            if let Some(spec) = &run.spec {
+                m.images.insert(spec.image.clone());
+            }
+        }
+        if let Phase::Ended(cause) = t.phase {
+            let run = run.clone();
+            self.on_ended(now, machine, &run, cause);
+        }
+    }
+
+    pub(super) fn on_ended(&mut self, now: Millis, machine: &str, run: &Run, cause: Cause) {
+        self.replan = true;
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        match cause {
+            Cause::Done => {
+                m.failed_jobs.clear();
+                m.probation_until = 0;
+                if job.done.set(run.task.index) {
+                    job.dirty.insert(run.task.index / CHUNK_TASKS);
+                    self.dirty_jobs.insert(run.task.job);
+                }
+                if job.placed.get(&run.task.index).is_some_and(|p| p.attempt == run.attempt) {
+                    job.placed.remove(&run.task.index);
+                }
+                if job.done.full() {
+                    self.finished.insert(run.task.job);
+                }
+                return;
+            }
+            Cause::Error => {
+                job.failed_on.insert(machine.to_string());
+                let doublings = (job.failed_on.len() as u32).saturating_sub(1).min(16);
+                let pause = (FAIL_PAUSE_MS << doublings).min(FAIL_PAUSE_MOST_MS);
+                job.pause_until = job.pause_until.max(now + pause);
+                if !job.suspect() {
+                    m.failed_jobs.insert(run.task.job);
+                    m.probation_until = now + PROBATION_MS;
+                    if m.failed_jobs.len() >= MACHINE_SUSPECT && !m.leaving {
+                        m.leaving = true;
+                        self.out.push(Effect::Note(format!("machine {machine} fails every job")));
+                    }
+                }
+            }
+            Cause::NoRoom | Cause::Busy | Cause::Unknown => {
+                job.pause_until = job.pause_until.max(now + REFUSED_PAUSE_MS);
+            }
+            Cause::Stopped => {}
+        }
+        self.released(machine, run);
+    }
+
+    /// A run is surely off its machine without a result: its task may go elsewhere.
+    pub(super) fn released(&mut self, machine: &str, run: &Run) {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
+        let index = run.task.index;
+        let here = |p: &Place| p.machine == machine && p.attempt == run.attempt;
+        if job.placed.get(&index).is_some_and(here) {
+            job.give_back(index);
+        }
+    }
+
+    pub(super) fn touch_empty(&mut self, now: Millis, machine: &str) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        if m.runs.values().any(Run::live) {
+            m.empty_since = None;
+        } else {
+            m.empty_since.get_or_insert(now);
+        }
+    }
+
+    /// The commands of a report's answer: everything that the machine has not yet been seen to do.
+    pub(super) fn answer(&mut self, now: Millis, machine: &str) -> Vec<Command> {
+        let Some(m) = self.machines.get_mut(machine) else { return Vec::new() };
+        m.answered = Some(now);
+        if m.unsettled {
+            return Vec::new();
+        }
+        let mut commands = Vec::new();
+        let call_open = m.call.is_some();
+        for ((task, attempt), run) in &mut m.runs {
+            let (task, attempt) = (*task, *attempt);
+            match run.phase {
+                Phase::Assigned => {
+                    commands.push(Command::Launch { task, attempt });
+                    run.launch_sent = true;
+                    // A cancelled launch may still arrive directly. Started and stopped here, the
+                    // attempt is known to the machine and the late command does nothing.
+                    push_stop(run, now, true, &mut commands);
+                }
+                Phase::Fetching | Phase::Running | Phase::Saving => {
+                    push_stop(run, now, true, &mut commands);
+                }
+                Phase::Ended(cause) => {
+                    let kept = cause == Cause::Done
+                        && self.jobs.get(&task.job).is_some_and(|j| !j.stored.get(task.index));
+                    if !kept && !run.lost_call && !call_open {
+                        commands.push(Command::Forget { task, attempt });
+                    }
+                }
+            }
+        }
+        commands
+    }
+
+    /// Sends what should not wait for the next report.
+    pub(super) fn flush(&mut self, now: Millis, except: Option<&str>) {
+        for m in self.machines.values_mut() {
+            if except == Some(m.name.as_str()) || m.call.is_some() || now < m.call_after {
+                continue;
+            }
+            let (Some(addr), false) = (&m.addr, m.deleting) else { continue };
+            let mut commands = Vec::new();
+            if !m.unsettled && m.up() {
+                for ((task, attempt), run) in &mut m.runs {
+                    if run.phase == Phase::Assigned && !run.launch_sent {
+                        commands.push(Command::Launch { task: *task, attempt: *attempt });
+                        run.launch_sent = true;
+                    }
+                    if run.live() {
+                        push_stop(run, now, false, &mut commands);
+                    }
+                }
+            }
+            let probe = m.unsettled || m.heard.is_some_and(|h| now.saturating_sub(h) >= PROBE_MS);
+            if commands.is_empty() && !probe {
+                continue;
+            }
+            self.next_call += 1;
+            m.call = Some(self.next_call);
+            self.out.push(Effect::Call {
+                machine: m.name.clone(),
+                addr: addr.clone(),
+                session: m.newest.0.max(1),
+                call: self.next_call,
+                commands,
+            });
+        }
+    }
+
+    pub(super) fn on_called(
+        &mut self,
+        now: Millis,
+        machine: &str,
+        call: u64,
+        outcome: CallOutcome,
+    ) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        if m.call != Some(call) {
+            return;
+        }
+        m.call = None;
+        match outcome {
+            CallOutcome::Done(r) => {
+                if r.machine == machine {
+                    self.apply(now, &r);
+                }
+            }
+            CallOutcome::Refused(r) => {
+                if r.token > self.token {
+                    self.out.push(Effect::Resign("a machine holds a higher token"));
+                    return;
+                }
+                // Not executed: the launches in it go again with the next answer.
+                let known = m.newest.0;
+                m.call_after = if r.session > known { now } else { now + 1_000 };
+                if r.machine == machine {
+                    self.apply(now, &r);
+                }
+            }
+            CallOutcome::NotSent => m.call_after = now + 500,
+            CallOutcome::Lost => {
+                m.call_after = now + 1_000;
+                for run in m.runs.values_mut() {
+                    // Which launches were in it is not kept: each one not yet seen, or ended,
+                    // counts as possibly in it. Never forgetting one too many costs a line.
+                    run.lost_call = true;
+                }
+            }
+        }
+        self.flush(now, None);
+    }
+}
+
+/// A run that an earlier leader launched. It keeps its place if its job is open and has no other
+/// place for the task; otherwise it is stopped.
+fn adopt(machine: &str, t: &TaskReport, job: Option<&mut Job>) -> Run {
+    let spec = job.as_ref().map(|j| j.spec.clone());
+    let mut stop = Some(Stop { grace_s: 0.0, sent_at: None });
+    if let Some(job) = job {
+        if !job.done.get(t.task.index) && !job.placed.contains_key(&t.task.index) {
+            let place = Place { machine: machine.to_string(), attempt: t.attempt };
+            job.placed.insert(t.task.index, place);
+            stop = None;
+        }
+    }
+    Run {
+        task: t.task,
+        attempt: t.attempt,
+        spec,
+        phase: Phase::Assigned,
+        stop,
+        launch_sent: true,
+        lost_call: false,
+        running_since: None,
+    }
+}
+
+/// Stops the runs of a closed job; what was never sent simply goes.
+pub(super) fn stop_runs_of(m: &mut Machine, id: JobId) {
+    m.runs
+        .retain(|(task, _), run| task.job != id || run.phase != Phase::Assigned || run.launch_sent);
+    for run in m.runs.values_mut().filter(|r| r.task.job == id && r.live()) {
+        run.stop = Some(Stop { grace_s: 0.0, sent_at: None });
+    }
+}
+
+/// Adds the stop of a run, if there is one to send now.
+fn push_stop(run: &mut Run, now: Millis, again: bool, commands: &mut Vec<Command>) {
+    let Some(stop) = &mut run.stop else { return };
+    // A task that is saving is only told again to end it at once.
+    if run.phase == Phase::Saving && stop.grace_s > 0.0 {
+        return;
+    }
+    let due = match stop.sent_at {
+        None => true,
+        Some(t) => again || now >= t + STOP_REPEAT_MS,
+    };
+    if due {
+        stop.sent_at = Some(now);
+        commands.push(Command::Stop {
+            task: run.task,
+            attempt: run.attempt,
+            grace_s: stop.grace_s,
+        });
+    }
+}
