Relay workers that can't reach the leader; leave slow machines; send nothing while suspended

A follower passes on the reports of a worker that comes back after it was sent to the leader (20 s, then it is sent again); the leader's token counts from any node. A machine whose tasks take twice the mean of their like, twice in a row, gets no more.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -59,6 +59,13 @@
 pub const MACHINE_SUSPECT: usize = 2;
 /// ms a machine gets no task after a task failed on it while other jobs have not yet judged it.
 pub const PROBATION_MS: Millis = 15_000;
+/// Times the mean run time of its job's other tasks after which a task speaks against its machine.
+/// Machines of a type differ by a tenth, tasks of a job by more.
+pub const SLOW_FACTOR: f64 = 2.0;
+/// Done tasks of a job that make a mean.
+pub const SLOW_LIKE: u32 = 2;
+/// Tasks in a row that speak against a machine before it gets no more.
+pub const SLOW_VOTES: u32 = 2;
 /// Tasks in one stored chunk of results: 1 bit each, 2 KiB, which stays under 3 KiB as text.
 pub const CHUNK_TASKS: u32 = 16_384;
 /// Most tasks of a job (the protocol's bound).
--- a/crates/latchtrack-core/src/job.rs
+++ b/crates/latchtrack-core/src/job.rs
@@ -135,6 +135,8 @@
     pub failed_on: BTreeSet<String>,
     /// Since when it has found no room.
     pub passed_since: Option<Millis>,
+    /// Run times of its done tasks: their sum in ms and their count.
+    pub ran: (Millis, u32),
 }
 
 impl Job {
@@ -163,6 +165,7 @@
             pause_until: 0,
             failed_on: BTreeSet::new(),
             passed_since: None,
+            ran: (0, 0),
         }
     }
 
@@ -205,6 +208,13 @@
         Some(self.submitted_ms.saturating_add((d.max(0.0) * 1000.0) as Millis))
     }
 
+    /// Takes in the run time of a done task; true if it was slow among its like.
+    pub fn was_slow(&mut self, ran: Millis) -> bool {
+        let (sum, n) = self.ran;
+        self.ran = (sum + ran, n + 1);
+        n >= SLOW_LIKE && ran as f64 * f64::from(n) > SLOW_FACTOR * sum as f64
+    }
+
     /// Looks for a job that fails everywhere rather than for machines that fail everything.
     pub fn suspect(&self) -> bool {
         self.failed_on.len() >= JOB_SUSPECT
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -209,7 +209,7 @@
                 } else {
                     self.policy.ordinary_idle_wait_ms
                 };
-                if m.notice_at.is_some() || now.saturating_sub(since) >= wait {
+                if m.notice_at.is_some() || m.is_slow() || now.saturating_sub(since) >= wait {
                     m.leaving = true;
                 }
             }
@@ -243,6 +243,7 @@
         runs: BTreeMap::new(),
         call: None,
         call_after: 0,
+        slow: 0,
         leaving: false,
         deleting: false,
         empty_since: None,
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -52,7 +52,12 @@
         let mut rooms = Vec::new();
         let mut total = Demand::default();
         for m in self.machines.values() {
-            if m.leaving || m.unsettled || m.notice_at.is_some() || now < m.probation_until {
+            if m.leaving
+                || m.unsettled
+                || m.is_slow()
+                || m.notice_at.is_some()
+                || now < m.probation_until
+            {
                 continue;
             }
             let Some(t) = self.type_of(&m.kind) else { continue };
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -131,6 +131,16 @@
             Cause::Done => {
                 m.failed_jobs.clear();
                 m.probation_until = 0;
+                if let Some(since) = run.running_since {
+                    if !job.was_slow(now.saturating_sub(since)) {
+                        m.slow = 0;
+                    } else if !m.is_slow() {
+                        m.slow += 1;
+                        if m.is_slow() {
+                            self.out.push(Effect::Note(format!("machine {machine} is slow")));
+                        }
+                    }
+                }
                 if job.done.set(run.task.index) {
                     job.dirty.insert(run.task.index / CHUNK_TASKS);
                     self.dirty_jobs.insert(run.task.job);
--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use crate::constants::SLOW_VOTES;
 use crate::job::{Demand, JobId, JobSpec, TaskId};
 use crate::Millis;
 
@@ -152,6 +153,8 @@
     pub call: Option<u64>,
     /// No direct call before this time.
     pub call_after: Millis,
+    /// Slow tasks in a row; too many, and it gets no more and goes back once it is empty.
+    pub slow: u32,
     /// Is to be deleted; no launches any more.
     pub leaving: bool,
     /// A delete is under way.
@@ -170,6 +173,11 @@
         self.heard.is_some()
     }
 
+    /// Whether its tasks run much longer than their like.
+    pub fn is_slow(&self) -> bool {
+        self.slow >= SLOW_VOTES
+    }
+
     /// Room taken by live runs; None when a run of unknown size is on it.
     pub fn used(&self) -> Option<Demand> {
         let mut d = Demand::default();
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -1,5 +1,6 @@
 //! Drives the core while this node is in office: events in, effects out.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use latchtrack_core::bitmap::Bitmap;
 use latchtrack_core::job::{JobId, JobSpec};
 use latchtrack_core::leader::{
-    CallOutcome, Cluster, Effect, Event, Policy, SaveOutcome, StoredMachine, Write,
+    CallOutcome, Cluster, Effect, Event, HireOutcome, Policy, SaveOutcome, StoredMachine, Write,
 };
 use latchtrack_core::machine::{Command, MachineType, Report};
 use serde_json::value::to_raw_value;
@@ -62,6 +63,8 @@
     },
     /// Another node leads, this one if it is known.
     Elsewhere(Option<String>),
+    /// The same, but the worker has been sent there in vain: its report is to be passed on.
+    Relay(String),
     /// This node leads but may not act now.
     NotNow,
 }
@@ -99,6 +102,8 @@
     meanwhile: Vec<JobChange>,
     fresh_at: u64,
     leader_name: Option<String>,
+    /// When workers were last sent to the leader.
+    sent_on: HashMap<String, u64>,
     saving: bool,
     want_save: bool,
     last_list: u64,
@@ -136,6 +141,7 @@
             meanwhile: Vec::new(),
             fresh_at: 0,
             leader_name: None,
+            sent_on: HashMap::new(),
             saving: false,
             want_save: false,
             last_list: 0,
@@ -152,6 +158,22 @@
             && now < self.fresh_at + self.ttl_ms
     }
 
+    /// Whether a worker reports here again soon after it was sent to the leader. Now and then it is
+    /// sent there all the same, to see whether it gets through again.
+    fn comes_back(&mut self, machine: &str) -> bool {
+        let now = now_ms();
+        if self.sent_on.len() >= SENT_ON_KEPT {
+            self.sent_on.retain(|_, at| now < *at + RELAY_MS);
+        }
+        match self.sent_on.get(machine) {
+            Some(at) if now < at + RELAY_MS => true,
+            _ => {
+                self.sent_on.insert(machine.to_string(), now);
+                false
+            }
+        }
+    }
+
     fn token(&self) -> u64 {
         self.office.map_or(0, |(token, _)| token)
     }
@@ -159,19 +181,33 @@
     /// Hands an event to the core and carries out what it wants; returns a report's answer.
     fn drive(&mut self, event: Event, ctx: &mut Context<Self>) -> Option<Vec<Command>> {
         let effects = self.cluster.as_mut()?.handle(now_ms(), event);
+        // Events of all kinds come in while the lease is in doubt; nothing goes out then.
+        let may_act = self.may_act();
+        let token = self.token();
         let mut answer = None;
         for effect in effects {
             match effect {
                 Effect::Answer(commands) => answer = Some(commands),
+                Effect::Call { machine, call, .. } if !may_act => {
+                    self.put_off(
+                        Event::Called { machine, call, outcome: CallOutcome::NotSent },
+                        ctx,
+                    );
+                }
+                Effect::Hire { hire, .. } if !may_act => {
+                    self.put_off(Event::Hired { hire, outcome: HireOutcome::NotDone }, ctx);
+                }
+                Effect::Return(names) if !may_act => {
+                    self.put_off(Event::Returned { names, ok: false }, ctx);
+                }
                 Effect::Call { machine, addr, session, call, commands } => {
                     self.call(machine, addr, session, call, &commands, ctx);
                 }
                 Effect::Hire { hire, offer, number } => {
-                    let token = self.token();
                     self.cloud.do_send(Errand::Hire { token, hire, offer, number });
                 }
                 Effect::Return(names) => {
-                    self.cloud.do_send(Errand::Return { token: self.token(), names });
+                    self.cloud.do_send(Errand::Return { token, names });
                 }
                 Effect::Save => self.save(ctx),
                 Effect::Resign(why) => {
@@ -185,6 +221,12 @@
         answer
     }
 
+    /// Tells the core a little later that something was not done.
+    fn put_off(&self, event: Event, ctx: &mut Context<Self>) {
+        let token = self.token();
+        ctx.notify_later(Came { token, event }, Duration::from_millis(PUT_OFF_MS));
+    }
+
     fn call(
         &self,
         machine: String,
@@ -477,7 +519,10 @@
     type Result = ();
     fn handle(&mut self, msg: Advanced, ctx: &mut Self::Context) {
         self.fresh_at = self.fresh_at.max(msg.sent_at);
-        self.leader_name = msg.leader;
+        if self.leader_name != msg.leader {
+            self.leader_name = msg.leader;
+            self.sent_on.clear();
+        }
         if self.building {
             self.meanwhile.extend(msg.changes);
             return;
@@ -497,7 +542,10 @@
     fn handle(&mut self, msg: WorkerReport, ctx: &mut Self::Context) -> Answer {
         if self.office.is_none() {
             let other = self.leader_name.clone().filter(|n| *n != self.node);
-            return Answer::Elsewhere(other);
+            return match other {
+                Some(leader) if self.comes_back(&msg.0.machine) => Answer::Relay(leader),
+                other => Answer::Elsewhere(other),
+            };
         }
         if !self.may_act() {
             return Answer::NotNow;
--- a/crates/latchtrack/src/actors/peers.rs
+++ b/crates/latchtrack/src/actors/peers.rs
@@ -15,7 +15,7 @@
 use super::job_cache::{Counts, JobCache, Served};
 use crate::clock::now_ms;
 use crate::constants::*;
-use crate::http::{users, Desk};
+use crate::http::{answer_passed_on, Desk};
 use crate::settings::Settings;
 use crate::wire::peers::{decode, encode, Answer, Ask, Frame};
 
@@ -24,10 +24,14 @@
 #[rtype(result = "()")]
 pub struct Tell(pub Frame);
 
-/// Passes a user's request on to a node that the state service serves; None if none answers.
+/// Passes a request on: to the node named, or else to one that the state service serves. None if
+/// there is none or it does not answer.
 #[derive(Message)]
 #[rtype(result = "Option<Answer>")]
-pub struct PassOn(pub Ask);
+pub struct PassOn {
+    pub to: Option<String>,
+    pub ask: Ask,
+}
 
 /// Whether another node has been heard lately.
 #[derive(Message)]
@@ -48,6 +52,7 @@
 }
 
 struct Line {
+    node: String,
     frames: mpsc::Sender<Frame>,
     heard_at: u64,
     store: bool,
@@ -55,7 +60,7 @@
 
 pub struct Peers {
     listener: Option<TcpListener>,
-    addrs: Vec<SocketAddr>,
+    others: Vec<(String, SocketAddr)>,
     lines: Vec<Line>,
     cache: Addr<JobCache>,
     /// Counts of an older term are not shown after those of a newer one.
@@ -68,7 +73,7 @@
     pub fn new(settings: &Settings, listener: TcpListener, cache: Addr<JobCache>) -> Self {
         Peers {
             listener: Some(listener),
-            addrs: settings.platform.peers.iter().map(|p| p.addr).collect(),
+            others: settings.platform.peers.iter().map(|p| (p.node_name.clone(), p.addr)).collect(),
             lines: Vec::new(),
             cache,
             token: 0,
@@ -142,7 +147,7 @@
     while let Ok(Some(Ok(bytes))) = tokio::time::timeout(idle, wire.next()).await {
         let reply = match decode(&bytes) {
             Some(Frame::Ask { id, ask }) => {
-                let answer = users::answer_passed_on(&desk, ask).await;
+                let answer = answer_passed_on(&desk, ask).await;
                 Some(Frame::Answer { id, answer })
             }
             // Health is answered by our own, on the same connection.
@@ -172,9 +177,9 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.set_mailbox_capacity(MAILBOX);
-        for (i, addr) in self.addrs.iter().enumerate() {
-            let (tx, rx) = mpsc::channel(PEER_QUEUE);
-            self.lines.push(Line { frames: tx, heard_at: 0, store: false });
+        for (i, (node, addr)) in self.others.iter().enumerate() {
+            let (frames, rx) = mpsc::channel(PEER_QUEUE);
+            self.lines.push(Line { node: node.clone(), frames, heard_at: 0, store: false });
             actix_rt::spawn(talk(i, *addr, rx, ctx.address()));
         }
         ctx.run_interval(Duration::from_millis(HEALTH_MS), |act, _| {
@@ -224,12 +229,13 @@
         let line = self
             .lines
             .iter()
-            .filter(|l| l.store && now < l.heard_at + HEALTH_OLD_MS)
+            .filter(|l| now < l.heard_at + HEALTH_OLD_MS)
+            .filter(|l| msg.to.as_ref().map_or(l.store, |node| *node == l.node))
             .max_by_key(|l| l.heard_at);
         let Some(line) = line else { return Box::pin(fut::ready(None)) };
         self.next_id += 1;
         let id = self.next_id;
-        if line.frames.try_send(Frame::Ask { id, ask: msg.0 }).is_err() {
+        if line.frames.try_send(Frame::Ask { id, ask: msg.ask }).is_err() {
             return Box::pin(fut::ready(None));
         }
         let (tx, rx) = oneshot::channel();
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -61,6 +61,8 @@
 
 /// ms between two ticks of the leader.
 pub const TICK_MS: u64 = 200;
+/// ms after which the core hears that something was not done for want of a valid lease.
+pub const PUT_OFF_MS: u64 = 500;
 /// ms between two looks at the cloud's list, which shows orphans and failed machines.
 pub const LIST_MS: u64 = 20_000;
 /// ms between two reads of the types and prices.
@@ -84,6 +86,11 @@
 pub const LOOKS_FAILED: u32 = 2;
 /// A request passed on to another node: users wait 2 s for a poll.
 pub const PASS_ON_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// ms in which a worker that was sent to the leader and is back has its reports passed on; then it
+/// is sent there again.
+pub const RELAY_MS: u64 = 20_000;
+/// Workers remembered as sent on, before old ones are dropped.
+pub const SENT_ON_KEPT: usize = 2_000;
 /// Bytes of the largest frame between nodes.
 pub const FRAME_BYTES: usize = 256 * 1024;
 /// Frames waiting for a node; more are refused.
--- a/crates/latchtrack/src/http/mod.rs
+++ b/crates/latchtrack/src/http/mod.rs
@@ -5,6 +5,8 @@
 pub mod workers;
 
 use actix::Addr;
+use actix_web::body::to_bytes;
+use actix_web::http::header::RETRY_AFTER;
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 use futures_util::StreamExt;
@@ -12,8 +14,9 @@
 use crate::actors::intake::Intake;
 use crate::actors::job_cache::JobCache;
 use crate::actors::leader::Leader;
-use crate::actors::peers::Peers;
+use crate::actors::peers::{PassOn, Peers};
 use crate::constants::{BODY_BYTES, RETRY_AFTER_S};
+use crate::wire::peers::{Answer, Ask};
 use crate::wire::users::ErrorAnswer;
 
 /// Whom the handlers speak to.
@@ -61,6 +64,29 @@
 /// Not now: the answer goes out at once and says when to come back.
 fn later(why: &str) -> HttpResponse {
     HttpResponse::ServiceUnavailable()
-        .insert_header(("Retry-After", RETRY_AFTER_S.to_string()))
+        .insert_header((RETRY_AFTER, RETRY_AFTER_S.to_string()))
         .json(ErrorAnswer { error: why })
 }
+
+/// Has another node answer; None if none does.
+async fn pass_on(desk: &Desk, to: Option<String>, ask: Ask) -> Option<HttpResponse> {
+    let answer = desk.peers.send(PassOn { to, ask }).await.ok()??;
+    let mut response = HttpResponse::build(StatusCode::from_u16(answer.status).ok()?);
+    if let Some(s) = answer.retry_after {
+        response.insert_header((RETRY_AFTER, s.to_string()));
+    }
+    Some(response.content_type("application/json").body(answer.body))
+}
+
+/// Answers what another node has passed on; never passes it on again.
+pub async fn answer_passed_on(desk: &Desk, ask: Ask) -> Answer {
+    let response = match ask {
+        Ask::Report(bytes) => workers::answer_here(desk, &bytes).await,
+        ask => users::answer_here(desk, ask).await,
+    };
+    let status = response.status().as_u16();
+    let header = response.headers().get(RETRY_AFTER).and_then(|v| v.to_str().ok());
+    let retry_after = header.and_then(|v| v.parse().ok());
+    let body = to_bytes(response.into_body()).await.map(|b| b.to_vec()).unwrap_or_default();
+    Answer { status, retry_after, body }
+}
--- a/crates/latchtrack/src/http/users.rs
+++ b/crates/latchtrack/src/http/users.rs
@@ -1,16 +1,14 @@
 //! Submit, query, withdraw, ready.
 
-use actix_web::body::to_bytes;
-use actix_web::http::header::RETRY_AFTER;
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 use latchtrack_core::job::JobId;
 
-use super::{body, later, refuse, Desk};
+use super::{body, later, pass_on, refuse, Desk};
 use crate::actors::intake::{Able, Submit, Submitted, Withdraw, Withdrawn};
 use crate::actors::job_cache::{Loaded, Look, Served, View};
-use crate::actors::peers::{Company, PassOn};
-use crate::wire::peers::{Answer, Ask};
+use crate::actors::peers::Company;
+use crate::wire::peers::Ask;
 use crate::wire::records::Record;
 use crate::wire::users::{parse_id, parse_job, JobAnswer, State};
 
@@ -49,7 +47,7 @@
 /// Answers here, or, where the state service does not serve this node alone, by another node.
 async fn answer(desk: &Desk, ask: Ask) -> HttpResponse {
     if !served(desk).await {
-        if let Some(answer) = pass_on(desk, ask.clone()).await {
+        if let Some(answer) = pass_on(desk, None, ask.clone()).await {
             return answer;
         }
         // All lack it, or nobody is there: what can be said here is said at once.
@@ -61,30 +59,12 @@
     desk.cache.send(Served).await.unwrap_or(false)
 }
 
-async fn pass_on(desk: &Desk, ask: Ask) -> Option<HttpResponse> {
-    let answer = desk.peers.send(PassOn(ask)).await.ok()??;
-    let mut response = HttpResponse::build(StatusCode::from_u16(answer.status).ok()?);
-    if let Some(s) = answer.retry_after {
-        response.insert_header((RETRY_AFTER, s.to_string()));
-    }
-    Some(response.content_type("application/json").body(answer.body))
-}
-
-/// Answers what another node has passed on; never passes it on again.
-pub async fn answer_passed_on(desk: &Desk, ask: Ask) -> Answer {
-    let response = answer_here(desk, ask).await;
-    let status = response.status().as_u16();
-    let header = response.headers().get(RETRY_AFTER).and_then(|v| v.to_str().ok());
-    let retry_after = header.and_then(|v| v.parse().ok());
-    let body = to_bytes(response.into_body()).await.map(|b| b.to_vec()).unwrap_or_default();
-    Answer { status, retry_after, body }
-}
-
-async fn answer_here(desk: &Desk, ask: Ask) -> HttpResponse {
+pub async fn answer_here(desk: &Desk, ask: Ask) -> HttpResponse {
     match ask {
         Ask::Submit(bytes) => submit_body(desk, &bytes).await.unwrap_or_else(|answer| answer),
         Ask::Query(id) => query_id(desk, &id).await,
         Ask::Withdraw(id) => withdraw_id(desk, &id).await,
+        Ask::Report(_) => refuse(StatusCode::BAD_REQUEST, "not a user's request"),
     }
 }
 
--- a/crates/latchtrack/src/http/workers.rs
+++ b/crates/latchtrack/src/http/workers.rs
@@ -3,8 +3,9 @@
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 
-use super::{body, later, refuse, Desk};
+use super::{body, later, pass_on, refuse, Desk};
 use crate::actors::leader::{Answer, WorkerReport};
+use crate::wire::peers::Ask;
 use crate::wire::workers::{parse_report, CommandDto, Elsewhere, Orders};
 
 pub async fn report(desk: web::Data<Desk>, payload: web::Payload) -> HttpResponse {
@@ -12,18 +13,44 @@
         Ok(b) => b,
         Err(answer) => return answer,
     };
-    let report = match parse_report(&bytes) {
-        Ok(r) => r,
-        Err(e) => {
-            tracing::debug!("a report is of no use: {e}");
-            return refuse(StatusCode::BAD_REQUEST, &e.to_string());
-        }
-    };
-    match desk.leader.send(WorkerReport(report)).await {
+    let answer = judge(&desk, &bytes).await;
+    // A worker that was sent to the leader and is back can't reach it: its report is passed on, and
+    // an answer with the leader's token counts from any node.
+    if let Ok(Answer::Relay(leader)) = &answer {
+        let passed = pass_on(&desk, Some(leader.clone()), Ask::Report(bytes)).await;
+        return passed.unwrap_or_else(|| elsewhere(None));
+    }
+    say(answer)
+}
+
+/// Answers at this node only.
+pub async fn answer_here(desk: &Desk, bytes: &[u8]) -> HttpResponse {
+    match judge(desk, bytes).await {
+        Ok(Answer::Relay(_)) => elsewhere(None),
+        answer => say(answer),
+    }
+}
+
+/// What the leader says to a report, or the refusal of one that is of no use.
+async fn judge(desk: &Desk, bytes: &[u8]) -> Result<Answer, HttpResponse> {
+    let report = parse_report(bytes).map_err(|e| {
+        tracing::debug!("a report is of no use: {e}");
+        refuse(StatusCode::BAD_REQUEST, &e.to_string())
+    })?;
+    Ok(desk.leader.send(WorkerReport(report)).await.unwrap_or(Answer::NotNow))
+}
+
+fn say(answer: Result<Answer, HttpResponse>) -> HttpResponse {
+    match answer {
+        Err(refusal) => refusal,
         Ok(Answer::Orders { token, commands }) => HttpResponse::Ok()
             .json(Orders { token, commands: commands.iter().map(CommandDto::from).collect() }),
-        Ok(Answer::Elsewhere(node)) => HttpResponse::build(StatusCode::MISDIRECTED_REQUEST)
-            .json(Elsewhere { report_to: node.as_deref() }),
-        Ok(Answer::NotNow) | Err(_) => later("not entitled to act now"),
+        Ok(Answer::Elsewhere(node)) => elsewhere(node.as_deref()),
+        Ok(Answer::Relay(_)) => elsewhere(None),
+        Ok(Answer::NotNow) => later("not entitled to act now"),
     }
 }
+
+fn elsewhere(report_to: Option<&str>) -> HttpResponse {
+    HttpResponse::build(StatusCode::MISDIRECTED_REQUEST).json(Elsewhere { report_to })
+}
--- a/crates/latchtrack/src/wire/peers.rs
+++ b/crates/latchtrack/src/wire/peers.rs
@@ -15,12 +15,14 @@
     Answer { id: u64, answer: Answer },
 }
 
-/// A user's request.
+/// A user's request, or a worker's.
 #[derive(Encode, Decode, Debug, PartialEq, Clone)]
 pub enum Ask {
     Submit(Vec<u8>),
     Query(String),
     Withdraw(String),
+    /// A report of a worker that can't reach the leader itself.
+    Report(Vec<u8>),
 }
 
 /// The answer to a user's request.
--- a/crates/latchtrack/tests/faces.rs
+++ b/crates/latchtrack/tests/faces.rs
@@ -188,3 +188,39 @@
     assert_eq!(got.1.as_deref(), Some("1"));
     assert_eq!(get(&format!("{two}/ready")).await.0, 200, "they hear each other and stay");
 }
+
+#[actix_web::test]
+async fn a_worker_that_cannot_reach_the_leader_is_relayed() {
+    let site = site();
+    let [one, two] = site.pair().await;
+    ready(&one).await;
+    ready(&two).await;
+    let leads = || {
+        let state = site.state.lock().unwrap();
+        state.keys.get("live/leader").map(|k| k.0["node"].as_str().unwrap().to_string())
+    };
+    let leader = loop {
+        if let Some(name) = leads() {
+            break name;
+        }
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(20)).await;
+    };
+    let follower = if leader == "one" { &two } else { &one };
+    assert_eq!(post(&format!("{follower}/api/jobs"), &job("req-000001")).await.0, 201);
+    // It is sent to the leader, comes back, and then gets its work through the follower.
+    let worker = Worker::new("n-000777");
+    let mut first = worker.report(follower).await;
+    while first.2["foreman"].is_null() {
+        first = worker.report(follower).await;
+    }
+    assert_eq!((first.0, first.2["foreman"].as_str()), (421, Some(leader.as_str())));
+    let at = format!("{follower}/api/jobs/req-000001");
+    for _ in 0..200 {
+        worker.report(follower).await;
+        if get(&at).await.2["status"] == "done" {
+            return;
+        }
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(30)).await;
+    }
+    panic!("the job was not done");
+}
