--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -132,7 +132,7 @@
         // Six go on; the others' last reports were 100 ms apart.
         for i in 0..22 {
             let last = 1_000 + if i < 6 { 1_000_000 } else { i * 100 };
-            if now <= last && step % 10 == 0 || (now <= last && i >= 6) {
+            if now <= last && (step % 10 == 0 || i >= 6) {
                 let r = report(
                     i,
                     1 + step,
