--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -21,16 +21,21 @@
 /// ms a job finds no room before a spot machine is rented for it.
 pub const SPOT_AFTER_MS: Millis = 0;
 /// ms a job finds no room before an ordinary machine is rented for it: three times the price.
-pub const ORDINARY_AFTER_MS: Millis = 10_000;
+pub const ORDINARY_AFTER_MS: Millis = 3_000;
 /// ms a (type, zone, kind) that had no machine is left alone, unless one of ours goes back: asking
 /// in vain uses up the call rate that rentals and returns need.
-pub const EXHAUSTED_MS: Millis = 20_000;
+pub const EXHAUSTED_MS: Millis = 10_000;
 /// Rentals that may be open at once: more would only wait in line for the cloud's call rate.
 pub const OPEN_HIRES: usize = 4;
 /// Machines in one rental call (the cloud's own bound).
 pub const HIRE_MOST: u32 = 50;
 /// ms of silence after which a machine is asked directly: two lost reports.
 pub const PROBE_MS: Millis = 6_000;
+/// ms of silence after which the other nodes are told, so that they pass on what a worker says to
+/// them: longer than between two reports (3.75 s).
+pub const OVERDUE_MS: Millis = 4_000;
+/// Machines named to them at most.
+pub const OVERDUE_MOST: usize = 500;
 /// ms of silence after which a machine is deleted and its tasks go elsewhere.
 pub const SILENCE_MS: Millis = 12_000;
 /// ms a new leader waits for the report of a machine of its predecessor before it deletes it.
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -364,6 +364,18 @@
         s
     }
 
+    /// Machines whose reports are overdue: their workers may be able to reach another node.
+    pub fn overdue(&self, now: Millis) -> Vec<String> {
+        self.machines
+            .values()
+            .filter(|m| !m.leaving)
+            .filter(|m| now >= m.heard.unwrap_or(self.took_over) + OVERDUE_MS)
+            .filter(|m| m.up() || m.unsettled)
+            .map(|m| m.name.clone())
+            .take(OVERDUE_MOST)
+            .collect()
+    }
+
     /// The machines, for checks.
     pub fn machines(&self) -> &BTreeMap<String, Machine> {
         &self.machines
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -54,6 +54,11 @@
 #[rtype(result = "Answer")]
 pub struct WorkerReport(pub Report);
 
+/// Machines that the leader misses; their reports are passed on to it.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Overdue(pub Vec<String>);
+
 /// What a worker is told.
 #[derive(Debug, MessageResponse)]
 pub enum Answer {
@@ -404,7 +409,8 @@
                     .map(|(id, done, running)| (id.0, done, running))
                     .collect();
                 self.cache.do_send(Counts(jobs.clone()));
-                self.peers.do_send(Tell(Frame::Progress { token: c.token(), jobs }));
+                let overdue = c.overdue(now);
+                self.peers.do_send(Tell(Frame::Progress { token: c.token(), jobs, overdue }));
                 tracing::debug!("{:?}", c.summary());
             }
         }
@@ -551,6 +557,15 @@
     }
 }
 
+impl Handler<Overdue> for Leader {
+    type Result = ();
+    fn handle(&mut self, msg: Overdue, _: &mut Self::Context) {
+        // As if they had been sent to the leader in vain: what they say is passed on at once.
+        let now = now_ms();
+        self.sent_on.extend(msg.0.into_iter().map(|name| (name, now)));
+    }
+}
+
 impl Handler<Came> for Leader {
     type Result = ();
     fn handle(&mut self, msg: Came, ctx: &mut Self::Context) {
--- a/crates/latchtrack/src/actors/peers.rs
+++ b/crates/latchtrack/src/actors/peers.rs
@@ -13,6 +13,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::job_cache::{Counts, JobCache, Served};
+use super::leader::{Leader, Overdue};
 use crate::clock::now_ms;
 use crate::constants::*;
 use crate::http::{answer_passed_on, Desk};
@@ -65,6 +66,7 @@
     cache: Addr<JobCache>,
     /// Counts of an older term are not shown after those of a newer one.
     token: u64,
+    leader: Option<Addr<Leader>>,
     asked: HashMap<u64, oneshot::Sender<Answer>>,
     next_id: u64,
 }
@@ -77,6 +79,7 @@
             lines: Vec::new(),
             cache,
             token: 0,
+            leader: None,
             asked: HashMap::new(),
             next_id: 0,
         }
@@ -192,6 +195,7 @@
     type Result = ();
     fn handle(&mut self, msg: Receive, ctx: &mut Self::Context) {
         let Some(listener) = self.listener.take() else { return };
+        self.leader = Some(msg.0.leader.clone());
         let (me, cache) = (ctx.address(), self.cache.clone());
         actix_rt::spawn(async move {
             loop {
@@ -252,10 +256,13 @@
     type Result = ();
     fn handle(&mut self, msg: Heard, _: &mut Self::Context) {
         match msg.frame {
-            Frame::Progress { token, jobs } => {
+            Frame::Progress { token, jobs, overdue } => {
                 if token >= self.token {
                     self.token = token;
                     self.cache.do_send(Counts(jobs));
+                    if let Some(leader) = &self.leader {
+                        leader.do_send(Overdue(overdue));
+                    }
                 }
             }
             Frame::Health { store } => {
--- a/crates/latchtrack/src/wire/peers.rs
+++ b/crates/latchtrack/src/wire/peers.rs
@@ -5,8 +5,8 @@
 /// What one node says to another.
 #[derive(Encode, Decode, Debug, PartialEq, Clone)]
 pub enum Frame {
-    /// The leader's counts of tasks done and running, for display.
-    Progress { token: u64, jobs: Vec<(u64, u32, u32)> },
+    /// The leader's counts of tasks done and running, for display, and the machines it misses.
+    Progress { token: u64, jobs: Vec<(u64, u32, u32)>, overdue: Vec<String> },
     /// Whether the sender is served by the state service.
     Health { store: bool },
     /// A user's request, passed on by a node that the state service does not serve.
@@ -56,7 +56,11 @@
 
     #[test]
     fn frames_survive_and_noise_does_not() {
-        let frame = Frame::Progress { token: 7, jobs: vec![(1, 2, 3), (u64::MAX, 0, 9)] };
+        let frame = Frame::Progress {
+            token: 7,
+            jobs: vec![(1, 2, 3), (u64::MAX, 0, 9)],
+            overdue: vec!["n-1".into()],
+        };
         let bytes = encode(&frame).unwrap();
         assert_eq!(decode(&bytes), Some(frame));
         assert_eq!(decode(&bytes[..bytes.len() - 1]), None);
