--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -251,3 +251,23 @@
     let placed: usize = c.jobs().values().map(|j| j.placed.len() + j.again.len()).sum();
     assert_eq!(placed, 60);
 }
+
+/// Hunted day: a cut between two zones lasted longer than machines may be silent, though a third
+/// node could reach both; the leader must name them before it gives them up.
+#[test]
+fn overdue_machines_are_named_long_before_they_are_given_up() {
+    let mut c = fleet(6);
+    assert_eq!(c.overdue(4_000), Vec::<String>::new(), "between two reports");
+    assert_eq!(c.overdue(5_100).len(), 6);
+    // One is relayed in time and stays; the others are given up only after the limit.
+    for step in 1..80 {
+        let now = 5_000 + step * 200;
+        if step % 15 == 1 {
+            let tasks = c.machines()[&name(0)].runs.values().map(seen).collect();
+            c.handle(now, Event::Report(report(0, 1 + step, 7, tasks)));
+            assert!(!c.overdue(now).contains(&name(0)));
+        }
+        let gone = returned(&c.handle(now, Event::Tick));
+        assert!(!gone.contains(&name(0)) && (gone.is_empty() || now >= 13_000));
+    }
+}
