--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -34,12 +34,15 @@
 /// ms of silence after which the other nodes are told, so that they pass on what a worker says to
 /// them: longer than between two reports (3.75 s).
 pub const OVERDUE_MS: Millis = 4_000;
+/// The same for machines that a new leader has asked directly.
+pub const UNSETTLED_MS: Millis = 1_000;
 /// Machines named to them at most.
 pub const OVERDUE_MOST: usize = 500;
 /// ms of silence after which a machine is deleted and its tasks go elsewhere.
 pub const SILENCE_MS: Millis = 12_000;
-/// ms a new leader waits for the report of a machine of its predecessor before it deletes it.
-pub const SETTLE_MS: Millis = 9_000;
+/// ms a new leader waits for the report of a machine of its predecessor before it deletes it: it
+/// asks all at once, a live one answers within 2 s, and all older jobs wait meanwhile.
+pub const SETTLE_MS: Millis = 6_000;
 /// ms between two looks at the cloud's list: it shows orphans and failed machines.
 pub const LIST_MS: Millis = 20_000;
 /// The same while machines are silent: one that the list no longer has was taken back.
@@ -76,7 +79,7 @@
 /// Done tasks of a job that make a mean.
 pub const SLOW_LIKE: u32 = 2;
 /// Tasks in a row that speak against a machine before it gets no more.
-pub const SLOW_VOTES: u32 = 2;
+pub const SLOW_VOTES: u32 = 3;
 /// Tasks in one stored chunk of results: 1 bit each, 2 KiB, which stays under 3 KiB as text.
 pub const CHUNK_TASKS: u32 = 16_384;
 /// Most tasks of a job (the protocol's bound).
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -369,8 +369,11 @@
         self.machines
             .values()
             .filter(|m| !m.leaving)
-            .filter(|m| now >= m.heard.unwrap_or(self.took_over) + OVERDUE_MS)
-            .filter(|m| m.up() || m.unsettled)
+            .filter(|m| match m.heard {
+                Some(heard) => now >= heard + OVERDUE_MS,
+                // Asked directly at the take-over, it should have answered by now.
+                None => m.unsettled && now >= self.took_over + UNSETTLED_MS,
+            })
             .map(|m| m.name.clone())
             .take(OVERDUE_MOST)
             .collect()
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -131,7 +131,10 @@
             Cause::Done => {
                 m.failed_jobs.clear();
                 m.probation_until = 0;
-                if let Some(since) = run.running_since {
+                // Only runs seen from their start: one that an earlier leader launched has run for
+                // longer than we know, and would make all its like look slow.
+                let ours = run.attempt >> ATTEMPT_BITS == self.token;
+                if let Some(since) = run.running_since.filter(|_| ours) {
                     if !job.was_slow(now.saturating_sub(since)) {
                         m.slow = 0;
                     } else if !m.is_slow() {
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -271,3 +271,23 @@
         assert!(!gone.contains(&name(0)) && (gone.is_empty() || now >= 13_000));
     }
 }
+
+/// Hunted day: after a take-over the runs of the earlier leader seemed short, and eleven machines of
+/// forty were returned as slow though one was.
+#[test]
+fn runs_of_an_earlier_leader_do_not_make_machines_look_slow() {
+    let mut c = fleet(4);
+    let end = |c: &Cluster, i: u64| -> Vec<TaskReport> {
+        let runs = c.machines()[&name(i)].runs.values();
+        runs.map(|r| TaskReport { phase: Phase::Ended(Cause::Done), ..seen(r) }).collect()
+    };
+    // Adopted at 1 s, they end at 2 s: they have run for longer than that.
+    for i in 0..3 {
+        let tasks = end(&c, i);
+        c.handle(2_000, Event::Report(report(i, 2, 7, tasks)));
+    }
+    assert_eq!(c.jobs()[&JobId(1)].ran, (0, 0));
+    let tasks = end(&c, 3);
+    c.handle(30_000, Event::Report(report(3, 2, 7, tasks)));
+    assert_eq!(c.machines()[&name(3)].slow, 0);
+}
