--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -260,7 +260,7 @@
             return bad(
                 "leader_lease_s",
                 format!(
-                    "leader_lease_s and the workers' lease_s end a cancelled task after {end} s, \
+                    "leader_lease_s and the workers' lease_s end a cancelled task after {end:.1} s, \
                      params.workers.cancel_s allows {} s",
                     p.workers.cancel_s
                 ),
