--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -150,7 +150,7 @@
 
     pub(super) fn boot_limit(&self, kind: &str, times: f64) -> Millis {
         let boot_s = self.type_of(kind).map_or(60.0, |t| t.boot_s);
-        (boot_s * times * 1000.0) as Millis + BOOT_GRACE_MS
+        ((boot_s * times * 1000.0) as Millis).saturating_add(BOOT_GRACE_MS)
     }
 
     pub(super) fn watch_silence(&mut self, now: Millis) {
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -223,10 +223,10 @@
         if dues.is_empty() {
             return (Tier::Regular, 0);
         }
-        dues.retain(|ms| job.seen_at + ms > now);
+        dues.retain(|ms| job.seen_at.saturating_add(*ms) > now);
         match dues.iter().min() {
-            Some(ms) if own.is_some() => (Tier::Deadline, job.seen_at + ms),
-            Some(ms) => (Tier::Aim, job.seen_at + ms),
+            Some(ms) if own.is_some() => (Tier::Deadline, job.seen_at.saturating_add(*ms)),
+            Some(ms) => (Tier::Aim, job.seen_at.saturating_add(*ms)),
             None => (Tier::Missed, 0),
         }
     }
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -46,7 +46,7 @@
         m.newest = (r.session, r.seq);
         m.heard = Some(now);
         m.addr = Some(r.addr.clone());
-        m.notice_at = r.notice_s.map(|s| now + (s.max(0.0) * 1000.0) as Millis);
+        m.notice_at = r.notice_s.map(|s| now.saturating_add((s.max(0.0) * 1000.0) as Millis));
         if first {
             self.replan = true;
             if !m.stored && !m.storing {
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -291,3 +291,29 @@
     c.handle(30_000, Event::Report(report(3, 2, 7, tasks)));
     assert_eq!(c.machines()[&name(3)].slow, 0);
 }
+
+#[test]
+fn absurd_numbers_from_outside_are_only_absurd() {
+    let mut c = fleet(2);
+    let absurd = JobSpec { deadline_s: Some(1e300), estimate_s: 1e300, ..(*spec(2, 3)).clone() };
+    let job =
+        Event::Job { spec: Arc::new(absurd), submitted_ms: u64::MAX, stamp: u64::MAX, done: None };
+    c.handle(2_000, job);
+    let mut r = report(0, u64::MAX, 7, Vec::new());
+    (r.session, r.notice_s) = (u64::MAX, Some(1e300));
+    c.handle(2_100, Event::Report(r));
+    let listed = Listed {
+        name: name(9),
+        kind: "unknown".into(),
+        zone: "z".into(),
+        spot: false,
+        failed: false,
+        age_ms: u64::MAX,
+    };
+    c.handle(2_200, Event::Listed(vec![listed]));
+    for step in 0..50 {
+        c.handle(3_000 + step * 200, Event::Tick);
+    }
+    // The machine moved to another session without its task, which waits again.
+    assert_eq!(c.jobs()[&JobId(1)].placed.len(), 1);
+}
--- a/crates/latchtrack/src/actors/cloud.rs
+++ b/crates/latchtrack/src/actors/cloud.rs
@@ -291,6 +291,11 @@
                     }
                 }
             }
+            // One list tells all who want one.
+            Errand::List { token } => {
+                self.queue.retain(|e| !matches!(e, Errand::List { .. }));
+                self.queue.push_back(Errand::List { token });
+            }
             other => self.queue.push_back(other),
         }
         self.pump(ctx);
--- a/crates/latchtrack/src/actors/peers.rs
+++ b/crates/latchtrack/src/actors/peers.rs
@@ -143,34 +143,46 @@
     }
 }
 
-/// Serves the connection of another node.
+/// Serves the connection of another node. Requests are answered side by side, as many as the queue
+/// of answers holds; more are dropped, and their sender answers for itself.
 async fn listen(stream: TcpStream, peers: Addr<Peers>, cache: Addr<JobCache>, desk: Desk) {
     let mut wire = framed(stream);
+    let (answers, mut ready) = mpsc::channel(PEER_QUEUE);
     let idle = Duration::from_secs(KEEP_ALIVE_S);
-    while let Ok(Some(Ok(bytes))) = tokio::time::timeout(idle, wire.next()).await {
-        let reply = match decode(&bytes) {
+    loop {
+        let bytes = tokio::select! {
+            answer = ready.recv() => {
+                let Some(answer) = answer else { return };
+                if !send(&mut wire, &answer).await {
+                    return;
+                }
+                continue;
+            }
+            bytes = tokio::time::timeout(idle, wire.next()) => bytes,
+        };
+        let Ok(Some(Ok(bytes))) = bytes else { return };
+        match decode(&bytes) {
             Some(Frame::Ask { id, ask }) => {
-                let answer = answer_passed_on(&desk, ask).await;
-                Some(Frame::Answer { id, answer })
+                if let Ok(place) = answers.clone().try_reserve_owned() {
+                    let desk = desk.clone();
+                    actix_rt::spawn(async move {
+                        let answer = answer_passed_on(&desk, ask).await;
+                        place.send(Frame::Answer { id, answer });
+                    });
+                }
             }
             // Health is answered by our own, on the same connection.
             Some(Frame::Health { .. }) => {
                 let store = cache.send(Served).await.unwrap_or(false);
-                Some(Frame::Health { store })
-            }
-            Some(frame) => {
-                peers.do_send(Heard { line: usize::MAX, frame });
-                None
+                if !send(&mut wire, &Frame::Health { store }).await {
+                    return;
+                }
             }
+            Some(frame) => peers.do_send(Heard { line: usize::MAX, frame }),
             None => {
                 tracing::debug!("a garbled frame from another node");
                 return;
             }
-        };
-        if let Some(reply) = reply {
-            if !send(&mut wire, &reply).await {
-                return;
-            }
         }
     }
 }
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -96,6 +96,8 @@
 
 /// Bytes of the largest request body (the protocol's bound).
 pub const BODY_BYTES: usize = 64 * 1024;
+/// A request's body, from its first to its last byte; users give up after 5 s.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Part of the node's sockets that users and workers may fill; the rest is for our own calls.
 pub const SOCKETS_USED: f64 = 0.75;
 /// s an idle connection is kept; users poll every 5 s.
--- a/crates/latchtrack/src/http/mod.rs
+++ b/crates/latchtrack/src/http/mod.rs
@@ -15,7 +15,7 @@
 use crate::actors::job_cache::JobCache;
 use crate::actors::leader::Leader;
 use crate::actors::peers::{PassOn, Peers};
-use crate::constants::{BODY_BYTES, RETRY_AFTER_S};
+use crate::constants::{BODY_BYTES, BODY_TIMEOUT, RETRY_AFTER_S};
 use crate::wire::peers::{Answer, Ask};
 use crate::wire::users::ErrorAnswer;
 
@@ -40,8 +40,16 @@
         .route("/v1/report", web::post().to(workers::report));
 }
 
-/// Reads a body of bounded size; an oversized one is answered with 413 and its connection closed.
-async fn body(mut payload: web::Payload) -> Result<Vec<u8>, HttpResponse> {
+/// Reads a body of bounded size in bounded time: one that does not come would hold its connection's
+/// place for ever. An oversized one is answered with 413 and its connection closed.
+async fn body(payload: web::Payload) -> Result<Vec<u8>, HttpResponse> {
+    match tokio::time::timeout(BODY_TIMEOUT, read(payload)).await {
+        Ok(body) => body,
+        Err(_) => Err(HttpResponse::RequestTimeout().force_close().finish()),
+    }
+}
+
+async fn read(mut payload: web::Payload) -> Result<Vec<u8>, HttpResponse> {
     let mut out = Vec::new();
     while let Some(part) = payload.next().await {
         let Ok(part) = part else {
--- a/crates/latchtrack/src/wire/records.rs
+++ b/crates/latchtrack/src/wire/records.rs
@@ -142,7 +142,10 @@
         let dto: RecordDto = serde_json::from_str(json).map_err(|e| e.to_string())?;
         Ok(match dto {
             RecordDto::Open { at_ms, spec: s } => {
-                let numbers = [s.cpus, s.gpus, s.memory_gb, s.checkpoint_s, s.save_s];
+                let due = s.deadline_s.unwrap_or(0.0);
+                let (run, image) = (s.estimate_s, s.image_gb);
+                let numbers =
+                    [s.cpus, s.gpus, s.memory_gb, s.checkpoint_s, s.save_s, run, image, due];
                 if s.tasks == 0
                     || s.tasks > latchtrack_core::constants::TASKS_MOST
                     || numbers.iter().any(|n| !n.is_finite() || *n < 0.0)
