--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -466,7 +466,9 @@
         let offers = placement::offers(spec, &self.types, self.rotate);
         let policy = &self.policy;
         let Some(offer) = offers.into_iter().find(|o| {
-            let wait = if o.spot { policy.spot_after_ms } else { policy.ordinary_after_ms };
+            // A job that may not use spot machines has nothing to wait for.
+            let cheapest = o.spot || !spec.spot;
+            let wait = if cheapest { policy.spot_after_ms } else { policy.ordinary_after_ms };
             passed >= wait && self.exhausted.get(o).is_none_or(|until| *until <= now)
         }) else {
             return 0;
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -317,3 +317,15 @@
     // The machine moved to another session without its task, which waits again.
     assert_eq!(c.jobs()[&JobId(1)].placed.len(), 1);
 }
+
+/// Seen on real processes: a job that may not use spot machines waited as if one might come free.
+#[test]
+fn a_job_without_spot_machines_rents_at_once() {
+    let mut c = Cluster::new(policy(), 7, types(), Vec::new(), 1_000);
+    let ordinary = Arc::new(JobSpec { spot: false, ..(*spec(1, 2)).clone() });
+    let job = Event::Job { spec: ordinary, submitted_ms: 0, stamp: 8, done: None };
+    c.handle(1_000, job);
+    let effects = c.handle(1_000, Event::Tick);
+    let hired = effects.iter().any(|e| matches!(e, Effect::Hire { offer, .. } if !offer.spot));
+    assert!(hired, "{effects:?}");
+}
