--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -329,3 +329,21 @@
     let hired = effects.iter().any(|e| matches!(e, Effect::Hire { offer, .. } if !offer.spot));
     assert!(hired, "{effects:?}");
 }
+
+/// Recorded day: large jobs that can't be in time made the small ones behind them late too.
+#[test]
+fn a_large_job_that_cannot_be_in_time_lets_a_small_one_pass() {
+    let mut policy = policy();
+    for ms in [30_000, 100_000] {
+        policy.aims.push(Aim { class: "c".into(), due: Due::Within(ms) });
+    }
+    let mut c = Cluster::new(policy, 7, types(), vec![stored(0)], 1_000);
+    // Nobody is placed before the machine has spoken; 8 tasks of 20 s need 80 s of its 8 CPUs.
+    for (id, tasks) in [(1, 8), (2, 1)] {
+        let spec = spec(id, tasks);
+        c.handle(1_000 + id, Event::Job { spec, submitted_ms: 0, stamp: 8, done: None });
+    }
+    c.handle(2_000, Event::Report(report(0, 1, 7, Vec::new())));
+    let placed = |id| c.jobs()[&JobId(id)].placed.len();
+    assert_eq!((placed(1), placed(2)), (1, 1));
+}
