Count deadlines from the submission on the steady clock, whoever leads; drop unused parts

Cause: a new leader measured deadlines and aims from when it first saw a job, so that after each take-over the oldest jobs stood behind.

--- a/crates/latchtrack-core/src/job.rs
+++ b/crates/latchtrack-core/src/job.rs
@@ -110,14 +110,12 @@
 #[derive(Clone, Debug)]
 pub struct Job {
     pub spec: Arc<JobSpec>,
-    /// Wall clock of the submission, for the deadline.
-    pub submitted_ms: Millis,
+    /// When it was submitted, on the local steady clock.
+    pub submitted_at: Millis,
     /// Version of its open record.
     pub stamp: u64,
     /// First accepted under an earlier leader, which may have launched its tasks.
     pub inherited: bool,
-    /// When this leader first saw it.
-    pub seen_at: Millis,
     /// Tasks known to be done, and those whose result is stored.
     pub done: Bitmap,
     pub stored: Bitmap,
@@ -143,18 +141,16 @@
     /// A job of which `done` is known to be complete and stored.
     pub fn new(
         spec: Arc<JobSpec>,
-        submitted_ms: Millis,
+        submitted_at: Millis,
         stamp: u64,
         inherited: bool,
         done: Bitmap,
-        now: Millis,
     ) -> Self {
         Job {
             spec,
-            submitted_ms,
+            submitted_at,
             stamp,
             inherited,
-            seen_at: now,
             stored: done.clone(),
             done,
             dirty: BTreeSet::new(),
@@ -202,12 +198,6 @@
         }
     }
 
-    /// Wall clock time by which it should be complete.
-    pub fn deadline_ms(&self) -> Option<Millis> {
-        let d = self.spec.deadline_s?;
-        Some(self.submitted_ms.saturating_add((d.max(0.0) * 1000.0) as Millis))
-    }
-
     /// Takes in the run time of a done task; true if it was slow among its like.
     pub fn was_slow(&mut self, ran: Millis) -> bool {
         let (sum, n) = self.ran;
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -136,7 +136,7 @@
         self.exhausted.retain(|_, until| *until > now);
         self.watch_list(now);
         self.watch_silence(now);
-        self.watch_notices(now);
+        self.watch_notices();
         self.watch_idle(now);
         if self.plan_due(now) {
             self.plan(now);
@@ -202,7 +202,7 @@
     }
 
     /// A machine that is to be taken: tasks that can save do so now, the others finish if they can.
-    pub(super) fn watch_notices(&mut self, now: Millis) {
+    pub(super) fn watch_notices(&mut self) {
         for m in self.machines.values_mut().filter(|m| m.notice_at.is_some()) {
             for run in m.runs.values_mut().filter(|r| r.phase == Phase::Running) {
                 let Some(spec) = &run.spec else { continue };
@@ -211,7 +211,6 @@
                 }
             }
         }
-        let _ = now;
     }
 
     pub(super) fn watch_idle(&mut self, now: Millis) {
@@ -271,7 +270,6 @@
         unsettled: false,
         newest: (0, 0),
         heard: None,
-        answered: None,
         notice_at: None,
         runs: BTreeMap::new(),
         call: None,
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -163,7 +163,7 @@
     /// An unfinished job of the mirror.
     Job {
         spec: Arc<JobSpec>,
-        submitted_ms: Millis,
+        submitted_at: Millis,
         stamp: u64,
         done: Option<Bitmap>,
     },
@@ -392,8 +392,8 @@
     /// Takes one event.
     pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Effect> {
         match event {
-            Event::Job { spec, submitted_ms, stamp, done } => {
-                self.on_job(now, spec, submitted_ms, stamp, done)
+            Event::Job { spec, submitted_at, stamp, done } => {
+                self.on_job(spec, submitted_at, stamp, done)
             }
             Event::Closed(job) => self.on_closed(now, job),
             Event::Report(report) => self.on_report(now, &report),
@@ -419,9 +419,8 @@
 
     fn on_job(
         &mut self,
-        now: Millis,
         spec: Arc<JobSpec>,
-        submitted_ms: Millis,
+        submitted_at: Millis,
         stamp: u64,
         done: Option<Bitmap>,
     ) {
@@ -433,7 +432,7 @@
         let finished = done.full();
         // The record's stamp is that of its creation while the job is open.
         let inherited = stamp < self.token;
-        self.jobs.insert(id, Job::new(spec, submitted_ms, stamp, inherited, done, now));
+        self.jobs.insert(id, Job::new(spec, submitted_at, stamp, inherited, done));
         if finished {
             self.finished.insert(id);
         }
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -177,7 +177,7 @@
         for team in self.policy.teams.iter().filter(|t| t.cpus > 0.0 || t.gpus > 0.0) {
             let mut mine: Vec<&Job> =
                 self.jobs.values().filter(|j| j.spec.team == team.name).collect();
-            mine.sort_by_key(|j| (j.submitted_ms, j.spec.id));
+            mine.sort_by_key(|j| (j.submitted_at, j.spec.id));
             let (mut cpus, mut gpus) = (0.0, 0.0);
             for job in mine {
                 let n = f64::from(job.spec.tasks - job.done.ones());
@@ -223,10 +223,10 @@
         if dues.is_empty() {
             return (Tier::Regular, 0);
         }
-        dues.retain(|ms| job.seen_at.saturating_add(*ms) > now);
+        dues.retain(|ms| job.submitted_at.saturating_add(*ms) > now);
         match dues.iter().min() {
-            Some(ms) if own.is_some() => (Tier::Deadline, job.seen_at.saturating_add(*ms)),
-            Some(ms) => (Tier::Aim, job.seen_at.saturating_add(*ms)),
+            Some(ms) if own.is_some() => (Tier::Deadline, job.submitted_at.saturating_add(*ms)),
+            Some(ms) => (Tier::Aim, job.submitted_at.saturating_add(*ms)),
             None => (Tier::Missed, 0),
         }
     }
@@ -284,7 +284,7 @@
         }
         let mut left = waiting;
         if !round.no_ready.contains(&shape) {
-            left -= self.fill_ready(now, id, &spec, waiting, round);
+            left -= self.fill_ready(id, &spec, waiting, round);
         }
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if left == 0 {
@@ -319,14 +319,7 @@
     }
 
     /// Places whole slices on machines that are up, by rising score; returns how many tasks.
-    fn fill_ready(
-        &mut self,
-        now: Millis,
-        id: JobId,
-        spec: &Arc<JobSpec>,
-        want: u32,
-        round: &mut Round,
-    ) -> u32 {
+    fn fill_ready(&mut self, id: JobId, spec: &Arc<JobSpec>, want: u32, round: &mut Round) -> u32 {
         let Some(job) = self.jobs.get(&id) else { return 0 };
         let live: Vec<String> = job
             .placed
@@ -410,7 +403,7 @@
             n -= here;
             round.rooms[i].take(&spec.demand, here);
             if let Some(machine) = round.rooms[i].machine.clone() {
-                self.assign(now, id, spec, &machine, here);
+                self.assign(id, spec, &machine, here);
             }
         }
         let used = round.used.entry(spec.team.clone()).or_default();
@@ -425,7 +418,7 @@
         machine.is_some_and(|m| m.images.contains(image))
     }
 
-    fn assign(&mut self, now: Millis, id: JobId, spec: &Arc<JobSpec>, machine: &str, n: u32) {
+    fn assign(&mut self, id: JobId, spec: &Arc<JobSpec>, machine: &str, n: u32) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(m) = self.machines.get_mut(machine) else { return };
         for index in job.take(n) {
@@ -448,7 +441,6 @@
             );
         }
         m.empty_since = None;
-        let _ = now;
     }
 
     /// Rents the first choice that is not known to be exhausted; returns for how many tasks.
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -200,7 +200,6 @@
     /// The commands of a report's answer: everything that the machine has not yet been seen to do.
     pub(super) fn answer(&mut self, now: Millis, machine: &str) -> Vec<Command> {
         let Some(m) = self.machines.get_mut(machine) else { return Vec::new() };
-        m.answered = Some(now);
         if m.unsettled {
             return Vec::new();
         }
--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -144,8 +144,6 @@
     pub newest: (u64, u64),
     /// When we last heard it; None: not up yet.
     pub heard: Option<Millis>,
-    /// When a report of it was last answered.
-    pub answered: Option<Millis>,
     /// When the cloud takes it, by its own notice.
     pub notice_at: Option<Millis>,
     pub runs: BTreeMap<(TaskId, u64), Run>,
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -108,7 +108,7 @@
 /// A leader with `n` settled machines, each running one task of a job, all heard at 1,000 ms.
 fn fleet(n: u64) -> Cluster {
     let mut c = Cluster::new(policy(), 7, types(), (0..n).map(stored).collect(), 1_000);
-    let job = Event::Job { spec: spec(1, n as u32), submitted_ms: 0, stamp: 3, done: None };
+    let job = Event::Job { spec: spec(1, n as u32), submitted_at: 0, stamp: 3, done: None };
     c.handle(1_000, job);
     for i in 0..n {
         let task = TaskReport {
@@ -190,7 +190,7 @@
 #[test]
 fn an_inherited_job_waits_until_every_machine_carries_the_token() {
     let mut c = Cluster::new(policy(), 7, types(), vec![stored(0), stored(1)], 1_000);
-    let job = |id, stamp| Event::Job { spec: spec(id, 2), submitted_ms: 0, stamp, done: None };
+    let job = |id, stamp| Event::Job { spec: spec(id, 2), submitted_at: 0, stamp, done: None };
     c.handle(1_000, job(1, 3));
     let mut n = launches(&c.handle(1_100, Event::Report(report(0, 1, 7, Vec::new()))));
     // An older token proves nothing.
@@ -208,7 +208,7 @@
 #[test]
 fn a_result_is_forgotten_only_after_it_is_stored() {
     let mut c = Cluster::new(policy(), 7, types(), vec![stored(0)], 1_000);
-    c.handle(1_000, Event::Job { spec: spec(1, 2), submitted_ms: 0, stamp: 8, done: None });
+    c.handle(1_000, Event::Job { spec: spec(1, 2), submitted_at: 0, stamp: 8, done: None });
     let effects = c.handle(1_100, Event::Report(report(0, 1, 7, Vec::new())));
     assert_eq!(launches(&effects), 2);
     let ended = |c: &Cluster| -> Vec<TaskReport> {
@@ -244,7 +244,7 @@
     }
     for id in 1..=200 {
         let spec = spec(id, 100_000);
-        c.handle(1_000, Event::Job { spec, submitted_ms: 0, stamp: 8, done: None });
+        c.handle(1_000, Event::Job { spec, submitted_at: 0, stamp: 8, done: None });
     }
     c.handle(2_000, Event::Tick);
     // Two tasks to a machine are placed, and no job holds more than its bits.
@@ -297,7 +297,7 @@
     let mut c = fleet(2);
     let absurd = JobSpec { deadline_s: Some(1e300), estimate_s: 1e300, ..(*spec(2, 3)).clone() };
     let job =
-        Event::Job { spec: Arc::new(absurd), submitted_ms: u64::MAX, stamp: u64::MAX, done: None };
+        Event::Job { spec: Arc::new(absurd), submitted_at: u64::MAX, stamp: u64::MAX, done: None };
     c.handle(2_000, job);
     let mut r = report(0, u64::MAX, 7, Vec::new());
     (r.session, r.notice_s) = (u64::MAX, Some(1e300));
@@ -323,7 +323,7 @@
 fn a_job_without_spot_machines_rents_at_once() {
     let mut c = Cluster::new(policy(), 7, types(), Vec::new(), 1_000);
     let ordinary = Arc::new(JobSpec { spot: false, ..(*spec(1, 2)).clone() });
-    let job = Event::Job { spec: ordinary, submitted_ms: 0, stamp: 8, done: None };
+    let job = Event::Job { spec: ordinary, submitted_at: 0, stamp: 8, done: None };
     c.handle(1_000, job);
     let effects = c.handle(1_000, Event::Tick);
     let hired = effects.iter().any(|e| matches!(e, Effect::Hire { offer, .. } if !offer.spot));
@@ -341,9 +341,25 @@
     // Nobody is placed before the machine has spoken; 8 tasks of 20 s need 80 s of its 8 CPUs.
     for (id, tasks) in [(1, 8), (2, 1)] {
         let spec = spec(id, tasks);
-        c.handle(1_000 + id, Event::Job { spec, submitted_ms: 0, stamp: 8, done: None });
+        c.handle(1_000 + id, Event::Job { spec, submitted_at: 0, stamp: 8, done: None });
     }
     c.handle(2_000, Event::Report(report(0, 1, 7, Vec::new())));
     let placed = |id| c.jobs()[&JobId(id)].placed.len();
     assert_eq!((placed(1), placed(2)), (1, 1));
 }
+
+/// Found in review: a new leader counted deadlines from when it first saw a job, not from when the
+/// user submitted it, so that after a take-over the oldest looked as good as new.
+#[test]
+fn deadlines_count_from_the_submission_whoever_leads() {
+    let mut c = Cluster::new(policy(), 7, types(), vec![stored(0)], 100_000);
+    let due = |id, deadline_s, submitted_at| {
+        let spec = JobSpec { deadline_s: Some(deadline_s), ..(*spec(id, 2)).clone() };
+        Event::Job { spec: Arc::new(spec), submitted_at, stamp: 8, done: None }
+    };
+    c.handle(100_000, due(1, 60.0, 99_000));
+    c.handle(100_000, due(2, 90.0, 20_000));
+    c.handle(100_100, Event::Report(report(0, 1, 7, Vec::new())));
+    let placed = |id| c.jobs()[&JobId(id)].placed.len();
+    assert_eq!((placed(1), placed(2)), (0, 2), "due at 159 s and at 110 s");
+}
--- a/crates/latchtrack-core/tests/world/mod.rs
+++ b/crates/latchtrack-core/tests/world/mod.rs
@@ -918,7 +918,7 @@
                     }
                     events.push(Event::Job {
                         spec,
-                        submitted_ms: stored_at,
+                        submitted_at: stored_at,
                         stamp: j.stamp,
                         done: Some(done),
                     });
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -19,7 +19,7 @@
 use super::job_cache::{Counts, JobCache, Learn, OpenJob, OpenJobs};
 use super::peers::{Peers, Tell};
 use super::store::{self, Ask, Class, Reply, Store};
-use crate::clock::now_ms;
+use crate::clock::{self, now_ms};
 use crate::constants::*;
 use crate::net::{finish, http_client, CallError};
 use crate::settings::Settings;
@@ -370,12 +370,13 @@
         );
         let types = self.types.clone();
         self.cluster = Some(Cluster::new(self.policy.clone(), token, types, picture.machines, now));
-        for (spec, submitted_ms, stamp) in picture.jobs {
+        for (spec, at_ms, stamp) in picture.jobs {
             let mut done = None;
             for (_, chunk, bytes) in picture.results.iter().filter(|(id, ..)| *id == spec.id) {
                 done.get_or_insert_with(|| Bitmap::new(spec.tasks)).merge_chunk(*chunk, bytes);
             }
-            self.drive(Event::Job { spec, submitted_ms, stamp, done }, ctx);
+            let submitted_at = clock::steady_of(at_ms);
+            self.drive(Event::Job { spec, submitted_at, stamp, done }, ctx);
         }
         for change in std::mem::take(&mut self.meanwhile) {
             self.change(change, ctx);
@@ -385,8 +386,9 @@
 
     fn change(&mut self, change: JobChange, ctx: &mut Context<Self>) {
         let event = match change {
-            JobChange::Open(spec, submitted_ms, stamp) => {
-                Event::Job { spec, submitted_ms, stamp, done: None }
+            JobChange::Open(spec, at_ms, stamp) => {
+                let submitted_at = clock::steady_of(at_ms);
+                Event::Job { spec, submitted_at, stamp, done: None }
             }
             JobChange::Closed(id) => Event::Closed(id),
         };
--- a/crates/latchtrack/src/clock.rs
+++ b/crates/latchtrack/src/clock.rs
@@ -5,13 +5,38 @@
 
 static START: OnceLock<Instant> = OnceLock::new();
 
-/// ms on the steady clock since the process began to ask.
+/// ms at which the steady clock starts: what happened up to ten days before a process began still
+/// has a time of its own on it, and 0 can stand for "never".
+const START_MS: u64 = 10 * 24 * 3_600 * 1_000;
+
+/// ms on the steady clock, which starts with the process.
 pub fn now_ms() -> u64 {
-    // 1 at least, so that 0 can stand for "never".
-    START.get_or_init(Instant::now).elapsed().as_millis() as u64 + 1
+    START_MS + START.get_or_init(Instant::now).elapsed().as_millis() as u64
 }
 
 /// ms of the time of day, which is off by up to the bound in the settings.
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
+
+/// The time on the steady clock that was this time of day; now at the latest.
+pub fn steady_of(wall: u64) -> u64 {
+    at(now_ms(), wall_ms(), wall)
+}
+
+fn at(now: u64, wall_now: u64, wall: u64) -> u64 {
+    now.saturating_sub(wall_now.saturating_sub(wall))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_happened_before_the_process_began_keeps_its_age() {
+        let (now, wall) = (START_MS + 5, 1_700_000_000_000);
+        assert_eq!(now - at(now, wall, wall - 60_000), 60_000);
+        assert_eq!(at(now, wall, wall + 900), now, "a clock ahead of ours");
+        assert_eq!(at(now, wall, 0), 0, "long ago");
+    }
+}
