--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -111,7 +111,7 @@
     fn miss(&mut self, now: Millis, listed: &[Listed]) {
         let names: HashSet<&str> = listed.iter().map(|l| l.name.as_str()).collect();
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
-            let silent = m.heard.is_some_and(|h| now >= h + PROBE_MS);
+            let silent = m.silent_for(now, PROBE_MS);
             let old = now >= m.rented_at + LIST_SURE_MS;
             if silent && old && !names.contains(m.name.as_str()) {
                 m.leaving = true;
@@ -121,10 +121,7 @@
     }
 
     fn watch_list(&mut self, now: Millis) {
-        let silent = self
-            .machines
-            .values()
-            .any(|m| !m.leaving && m.heard.is_some_and(|h| now >= h + PROBE_MS));
+        let silent = self.machines.values().any(|m| !m.leaving && m.silent_for(now, PROBE_MS));
         let every = if silent { LIST_SILENT_MS } else { LIST_MS };
         if self.listed_at.is_none_or(|t| now >= t + every) {
             self.listed_at = Some(now);
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -249,7 +249,7 @@
                     }
                 }
             }
-            let probe = m.unsettled || m.heard.is_some_and(|h| now.saturating_sub(h) >= PROBE_MS);
+            let probe = m.unsettled || m.silent_for(now, PROBE_MS);
             if commands.is_empty() && !probe {
                 continue;
             }
--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -171,6 +171,11 @@
         self.heard.is_some()
     }
 
+    /// Whether it was up and has not been heard for so many ms.
+    pub fn silent_for(&self, now: Millis, ms: Millis) -> bool {
+        self.heard.is_some_and(|heard| now >= heard + ms)
+    }
+
     /// Whether its tasks run much longer than their like.
     pub fn is_slow(&self) -> bool {
         self.slow >= SLOW_VOTES
--- a/crates/latchtrack/src/http/workers.rs
+++ b/crates/latchtrack/src/http/workers.rs
@@ -25,10 +25,7 @@
 
 /// Answers at this node only.
 pub async fn answer_here(desk: &Desk, bytes: &[u8]) -> HttpResponse {
-    match judge(desk, bytes).await {
-        Ok(Answer::Relay(_)) => elsewhere(None),
-        answer => say(answer),
-    }
+    say(judge(desk, bytes).await)
 }
 
 /// What the leader says to a report, or the refusal of one that is of no use.
@@ -46,6 +43,7 @@
         Ok(Answer::Orders { token, commands }) => HttpResponse::Ok()
             .json(Orders { token, commands: commands.iter().map(CommandDto::from).collect() }),
         Ok(Answer::Elsewhere(node)) => elsewhere(node.as_deref()),
+        // Passed on once already, or in vain.
         Ok(Answer::Relay(_)) => elsewhere(None),
         Ok(Answer::NotNow) => later("not entitled to act now"),
     }
