Derive the thresholds of silence from report_s; silence_s follows unless operators set it

A healthy worker may take 1.25 report_s between two reports; 0.5 s after that the other nodes are told, 2 s after it the machine is asked, 6 s later it is given up.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -29,17 +29,19 @@
 pub const OPEN_HIRES: usize = 4;
 /// Machines in one rental call (the cloud's own bound).
 pub const HIRE_MOST: u32 = 50;
-/// ms of silence after which a machine is asked directly: two lost reports.
-pub const PROBE_MS: Millis = 6_000;
-/// ms of silence after which the other nodes are told, so that they pass on what a worker says to
-/// them: longer than between two reports (3.75 s).
-pub const OVERDUE_MS: Millis = 4_000;
+/// Times `report_s` that may pass between two reports of a healthy worker (the protocol's bound).
+pub const REPORT_VARIES: f64 = 1.25;
+/// ms after that until the other nodes are told, so that they pass on what a worker says to them.
+pub const OVERDUE_MS: Millis = 500;
+/// ms after that until a machine is asked directly: a report on its way, or one lost packet.
+pub const PROBE_MS: Millis = 2_000;
 /// The same for machines that a new leader has asked directly.
 pub const UNSETTLED_MS: Millis = 1_000;
 /// Machines named to them at most.
 pub const OVERDUE_MOST: usize = 500;
-/// ms of silence after which a machine is deleted and its tasks go elsewhere.
-pub const SILENCE_MS: Millis = 12_000;
+/// ms a machine is asked directly, two calls of 2.5 s, before it is deleted and its tasks go
+/// elsewhere (default of `silence_s`, on top of when the asking begins).
+pub const ASKED_MS: Millis = 6_000;
 /// ms a new leader waits for the report of a machine of its predecessor before it deletes it: it
 /// asks all at once, a live one answers within 2 s, and all older jobs wait meanwhile.
 pub const SETTLE_MS: Millis = 6_000;
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -110,8 +110,9 @@
     /// nothing; the delete that this leads to does, and costs nothing if the machine is gone.
     fn miss(&mut self, now: Millis, listed: &[Listed]) {
         let names: HashSet<&str> = listed.iter().map(|l| l.name.as_str()).collect();
+        let probe_ms = self.policy.probe_ms();
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
-            let silent = m.silent_for(now, PROBE_MS);
+            let silent = m.silent_for(now, probe_ms);
             let old = now >= m.rented_at + LIST_SURE_MS;
             if silent && old && !names.contains(m.name.as_str()) {
                 m.leaving = true;
@@ -121,7 +122,8 @@
     }
 
     fn watch_list(&mut self, now: Millis) {
-        let silent = self.machines.values().any(|m| !m.leaving && m.silent_for(now, PROBE_MS));
+        let probe_ms = self.policy.probe_ms();
+        let silent = self.machines.values().any(|m| !m.leaving && m.silent_for(now, probe_ms));
         let every = if silent { LIST_SILENT_MS } else { LIST_MS };
         if self.listed_at.is_none_or(|t| now >= t + every) {
             self.listed_at = Some(now);
@@ -173,8 +175,9 @@
         // Many at once: rather a cut between us and them than that many dead machines. Deleting
         // them would throw their work away; past its lease a machine has none left.
         // They fall silent within a report's time of each other, so all that are overdue count.
+        let probe_ms = self.policy.probe_ms();
         let overdue =
-            self.machines.values().filter(|m| silence(m).is_some_and(|s| s >= PROBE_MS)).count();
+            self.machines.values().filter(|m| silence(m).is_some_and(|s| s >= probe_ms)).count();
         let cut = known >= SILENT_LEAST && overdue as f64 > known as f64 * SILENT_SHARE;
         // A machine heard in this term shows that we were heard once. A new leader that hears none
         // must not resign: the next would do the same for ever, with nobody to settle them.
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -41,6 +41,8 @@
     pub ordinary_after_ms: Millis,
     pub silence_ms: Millis,
     pub settle_ms: Millis,
+    /// How often workers report, plus or minus a quarter.
+    pub report_ms: Millis,
     /// The workers' lease.
     pub lease_ms: Millis,
     pub teams: Vec<Team>,
@@ -48,6 +50,28 @@
     pub aims: Vec<Aim>,
 }
 
+impl Policy {
+    /// The longest time between two reports of a healthy worker.
+    fn reports_within(&self) -> Millis {
+        (self.report_ms as f64 * REPORT_VARIES) as Millis
+    }
+
+    /// Silence after which the other nodes are told of a machine.
+    pub fn overdue_ms(&self) -> Millis {
+        self.reports_within() + OVERDUE_MS
+    }
+
+    /// Silence after which a machine is asked directly.
+    pub fn probe_ms(&self) -> Millis {
+        self.reports_within() + PROBE_MS
+    }
+
+    /// Silence after which a machine is given up, unless operators say otherwise.
+    pub fn silence_default(report_ms: Millis) -> Millis {
+        (report_ms as f64 * REPORT_VARIES) as Millis + PROBE_MS + ASKED_MS
+    }
+}
+
 /// How soon the jobs of a class should be complete.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Aim {
@@ -370,7 +394,7 @@
             .values()
             .filter(|m| !m.leaving)
             .filter(|m| match m.heard {
-                Some(heard) => now >= heard + OVERDUE_MS,
+                Some(heard) => now >= heard + self.policy.overdue_ms(),
                 // Asked directly at the take-over, it should have answered by now.
                 None => m.unsettled && now >= self.took_over + UNSETTLED_MS,
             })
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -66,7 +66,7 @@
                 total.cpus += t.cpus;
                 total.gpus += t.gpus;
                 total.memory_gb += t.memory_gb;
-                if m.silent_for(now, PROBE_MS) {
+                if m.silent_for(now, self.policy.probe_ms()) {
                     continue;
                 }
             } else if now.saturating_sub(m.rented_at) > self.boot_limit(&m.kind, BOOT_LATE) {
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -232,6 +232,7 @@
 
     /// Sends what should not wait for the next report.
     pub(super) fn flush(&mut self, now: Millis, except: Option<&str>) {
+        let probe_ms = self.policy.probe_ms();
         for m in self.machines.values_mut() {
             if except == Some(m.name.as_str()) || m.call.is_some() || now < m.call_after {
                 continue;
@@ -249,7 +250,7 @@
                     }
                 }
             }
-            let probe = m.unsettled || m.silent_for(now, PROBE_MS);
+            let probe = m.unsettled || m.silent_for(now, probe_ms);
             if commands.is_empty() && !probe {
                 continue;
             }
--- a/crates/latchtrack-core/tests/world/mod.rs
+++ b/crates/latchtrack-core/tests/world/mod.rs
@@ -880,6 +880,7 @@
             ordinary_after_ms: 500,
             silence_ms: 6_000,
             settle_ms: 4_000,
+            report_ms: REPORT,
             lease_ms: LEASE,
             teams: vec![team("free", 0.0), team("limited", limit)],
             aims: vec![Aim { class: "c".into(), due: Due::Within(30_000) }],
--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -152,8 +152,8 @@
     pub spot_after_s: f64,
     /// The same for an ordinary machine.
     pub ordinary_after_s: f64,
-    /// s of silence after which a machine is given up.
-    pub silence_s: f64,
+    /// s of silence after which a machine is given up; derived from `report_s` if not set.
+    pub silence_s: Option<f64>,
     /// s a new leader waits for a machine of its predecessor.
     pub settle_s: f64,
     /// s the leader's lease lasts.
@@ -172,7 +172,7 @@
             pass_over_s: s(core::PASS_OVER_MS),
             spot_after_s: s(core::SPOT_AFTER_MS),
             ordinary_after_s: s(core::ORDINARY_AFTER_MS),
-            silence_s: s(core::SILENCE_MS),
+            silence_s: None,
             settle_s: s(core::SETTLE_MS),
             leader_lease_s: s(c::LEADER_TTL_MS),
         }
@@ -200,8 +200,10 @@
             Some(path) => parse_tuning(&read(path)?)
                 .map_err(|e| BadSettings::Yaml(path.display().to_string(), e))?,
         };
-        let settings = Settings { platform, tuning };
+        let mut settings = Settings { platform, tuning };
         settings.check()?;
+        // So that what is shown is what takes effect.
+        settings.tuning.silence_s = Some(settings.silence_s());
         Ok(settings)
     }
 
@@ -250,8 +252,9 @@
         within("pass_over_s", t.pass_over_s, 0.0, 86_400.0)?;
         within("spot_after_s", t.spot_after_s, 0.0, 3_600.0)?;
         within("ordinary_after_s", t.ordinary_after_s, 0.0, 3_600.0)?;
-        within("silence_s", t.silence_s, 3.0 * p.workers.report_s, 3_600.0)?;
-        within("settle_s", t.settle_s, p.workers.report_s, 3_600.0)?;
+        let asked_first = p.workers.report_s * core::REPORT_VARIES + core::PROBE_MS as f64 / 1000.0;
+        within("silence_s", self.silence_s(), asked_first, 3_600.0)?;
+        within("settle_s", t.settle_s, 3.0, 3_600.0)?;
         within("leader_lease_s", t.leader_lease_s, 1.0, 600.0)?;
         // A leader that can't see cancellations answers reports for its lease at most, and the
         // tasks then run for the workers' lease at most.
@@ -281,7 +284,8 @@
             pass_over_ms: ms(t.pass_over_s),
             spot_after_ms: ms(t.spot_after_s),
             ordinary_after_ms: ms(t.ordinary_after_s),
-            silence_ms: ms(t.silence_s),
+            silence_ms: ms(self.silence_s()),
+            report_ms: ms(self.platform.params.workers.report_s),
             settle_ms: ms(t.settle_s),
             lease_ms: ms(self.platform.params.workers.lease_s),
             aims: self.platform.params.objectives.iter().filter_map(Objective::aim).collect(),
@@ -301,6 +305,13 @@
         }
     }
 
+    /// s of silence after which a machine is given up.
+    pub fn silence_s(&self) -> f64 {
+        let report_ms = (self.platform.params.workers.report_s * 1000.0) as u64;
+        let derived = || Policy::silence_default(report_ms) as f64 / 1000.0;
+        self.tuning.silence_s.unwrap_or_else(derived)
+    }
+
     pub fn leader_ttl_ms(&self) -> u64 {
         (self.tuning.leader_lease_s * 1000.0) as u64
     }
