--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -82,13 +82,43 @@
 pub const SLOW_LIKE: u32 = 2;
 /// Tasks in a row that speak against a machine before it gets no more.
 pub const SLOW_VOTES: u32 = 3;
+/// Sends of a launch that the machine, reporting on, does not take before it counts as deaf.
+pub const DEAF_SENDS: u32 = 3;
+/// ms since the first of them: a worker whose answer was lost asks again within 5 s.
+pub const DEAF_MS: Millis = 8_000;
+/// Direct calls without an answer before silence counts as the machine's and not as ours.
+pub const UNANSWERED: u32 = 2;
+/// Direct calls without commands open at once: a new leader asks a whole fleet, and has little of
+/// a processor.
+pub const PROBES_OPEN: usize = 48;
+/// ms until a machine that has just spoken with an older token is asked directly: on hearing ours
+/// it speaks again within half a second by itself.
+pub const PROBE_NEW_MS: Millis = 2_000;
+/// Ended runs on a machine that are forgotten without another command to go with: each change of
+/// what a worker lists costs a report.
+pub const FORGET_LEAST: usize = 8;
+/// ms between two rounds of placing for the whole fleet; what a single report frees is filled at
+/// once.
+pub const ROUND_MS: Millis = 200;
+/// ms after which a round is made though nothing has changed: deadlines come closer.
+pub const ROUND_IDLE_MS: Millis = 1_000;
+/// ms between two writes of the same value of results: a machine keeps what is not stored yet.
+pub const RESULTS_GAP_MS: Millis = 2_000;
+/// ms between two writes of the same value of the machine set when machines are only to go out of
+/// it: nobody waits for that, and many go together.
+pub const FLEET_GAP_MS: Millis = 5_000;
+/// Bytes that a stored value's entries take beside their names: quotes, commas, flags.
+pub const ENTRY_BYTES: usize = 24;
+/// Part of a value's bound that is filled.
+pub const VALUE_FILLED: f64 = 0.9;
 /// Tasks in one stored chunk of results: 1 bit each, 2 KiB, which stays under 3 KiB as text.
 pub const CHUNK_TASKS: u32 = 16_384;
 /// Most tasks of a job (the protocol's bound).
 pub const TASKS_MOST: u32 = 100_000;
 /// Bits of an attempt number below the token: 16 million launches in one term.
 pub const ATTEMPT_BITS: u32 = 24;
-/// Names of machines that are gone, kept so that late reports do not bring them back.
-pub const GONE_KEPT: usize = 4_096;
+/// Names of machines that went in this term, kept so that late copies of their reports do not bring
+/// them back: some hours of a fleet that changes every few minutes; about 2 MB.
+pub const GONE_KEPT: usize = 16_384;
 /// ms between two stops of the same task while it does not end.
 pub const STOP_REPEAT_MS: Millis = 2_000;
--- a/crates/latchtrack-core/src/job.rs
+++ b/crates/latchtrack-core/src/job.rs
@@ -102,7 +102,7 @@
 /// Where a task is.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Place {
-    pub machine: String,
+    pub machine: Arc<str>,
     pub attempt: u64,
 }
 
@@ -119,13 +119,15 @@
     /// Tasks known to be done, and those whose result is stored.
     pub done: Bitmap,
     pub stored: Bitmap,
-    /// Chunks with results that are not stored.
-    pub dirty: BTreeSet<u32>,
     /// The record as done has been refused: somebody else closed the job.
     pub conflict: bool,
     pub placed: BTreeMap<u32, Place>,
     /// Tasks that came back, to be placed before those never tried.
     pub again: BTreeSet<u32>,
+    /// Tasks neither done nor on a machine.
+    left: u32,
+    /// What it is alike with others in; see [`crate::leader`].
+    pub shape: usize,
     cursor: u32,
     /// Nothing of it is placed before this time.
     pub pause_until: Millis,
@@ -147,13 +149,14 @@
         done: Bitmap,
     ) -> Self {
         Job {
+            left: spec.tasks - done.ones(),
+            shape: 0,
             spec,
             submitted_at,
             stamp,
             inherited,
             stored: done.clone(),
             done,
-            dirty: BTreeSet::new(),
             conflict: false,
             placed: BTreeMap::new(),
             again: BTreeSet::new(),
@@ -167,11 +170,29 @@
 
     /// Tasks neither done nor on a machine.
     pub fn waiting(&self) -> u32 {
-        let placed_not_done = self.placed.keys().filter(|i| !self.done.get(**i)).count() as u32;
-        self.spec.tasks - self.done.ones() - placed_not_done
+        self.left
     }
 
-    /// Takes up to `n` waiting tasks. Those not placed must come back by [`Job::give_back`].
+    /// A task has a place now.
+    pub fn place(&mut self, index: u32, place: Place) {
+        if self.placed.insert(index, place).is_none() && !self.done.get(index) {
+            self.left -= 1;
+        }
+    }
+
+    /// A task is done, by this attempt; true if that is news.
+    pub fn complete(&mut self, index: u32, attempt: u64) -> bool {
+        let news = self.done.set(index);
+        if news && !self.placed.contains_key(&index) {
+            self.left -= 1;
+        }
+        if self.placed.get(&index).is_some_and(|p| p.attempt == attempt) {
+            self.placed.remove(&index);
+        }
+        news
+    }
+
+    /// Takes up to `n` waiting tasks. Each must then be placed.
     pub fn take(&mut self, n: u32) -> Vec<u32> {
         let mut out = Vec::with_capacity(n as usize);
         while (out.len() as u32) < n {
@@ -192,9 +213,11 @@
 
     /// A task is off its machine without a result.
     pub fn give_back(&mut self, index: u32) {
-        self.placed.remove(&index);
-        if index < self.cursor && !self.done.get(index) {
-            self.again.insert(index);
+        if self.placed.remove(&index).is_some() && !self.done.get(index) {
+            self.left += 1;
+            if index < self.cursor {
+                self.again.insert(index);
+            }
         }
     }
 
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -50,15 +50,14 @@
             }
             if let Some(m) = self.machines.remove(&name) {
                 // What went back can be had again.
-                let offer = Offer { kind: m.kind.clone(), zone: m.zone.clone(), spot: m.spot };
+                let offer =
+                    Offer { kind: m.kind.to_string(), zone: m.zone.to_string(), spot: m.spot };
                 self.exhausted.remove(&offer);
                 for run in m.runs.values().filter(|r| r.live()) {
                     self.released(&name, run);
                 }
-                self.dirty_machines.remove(&name);
-                if m.stored {
-                    self.dropped_machines.insert(name.clone());
-                }
+                self.fleet.remove(&name);
+                self.wake.remove(&name);
             }
             self.remember_gone(name);
         }
@@ -95,6 +94,7 @@
                 }
                 None => {
                     let mut m = new_machine(&l.name, &l.kind, &l.zone, l.spot, now);
+                    // Not to be asked before it speaks: it may be booting.
                     m.rented_at = now.saturating_sub(l.age_ms);
                     m.leaving = l.failed;
                     self.machines.insert(l.name.clone(), m);
@@ -114,7 +114,7 @@
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
             let silent = m.silent_for(now, probe_ms);
             let old = now >= m.rented_at + LIST_SURE_MS;
-            if silent && old && !names.contains(m.name.as_str()) {
+            if silent && old && !names.contains(&*m.name) {
                 m.leaving = true;
                 self.out.push(Effect::Note(format!("machine {} taken back", m.name)));
             }
@@ -137,6 +137,9 @@
         self.watch_silence(now);
         self.watch_notices();
         self.watch_idle(now);
+        self.watch_deaf(now);
+        self.probe(now);
+        self.wake.append(&mut self.wake_later);
         if self.plan_due(now) {
             self.plan(now);
         }
@@ -153,36 +156,33 @@
     }
 
     pub(super) fn watch_silence(&mut self, now: Millis) {
-        let silence = |m: &Machine| match m.heard {
-            Some(h) => Some(now.saturating_sub(h)),
-            None if m.unsettled => Some(now.saturating_sub(self.took_over)),
-            None => None,
-        };
-        let limit = |m: &Machine| {
-            if m.unsettled {
-                self.policy.settle_ms
-            } else {
-                self.policy.silence_ms
-            }
-        };
-        let known = self.machines.values().filter(|m| silence(m).is_some()).count();
+        let past_lease = self.policy.lease_ms + LEASE_MARGIN_MS;
+        let over = now.saturating_sub(self.took_over) >= past_lease;
+        // Silence is the machine's only if it was asked and did not answer: a node that is late
+        // hears late. Past its lease it has no task left in any case.
+        let limit =
+            |m: &Machine| if m.up() { self.policy.silence_ms } else { self.policy.settle_ms };
         let silent: Vec<(String, Millis)> = self
             .machines
             .values()
             .filter(|m| !m.leaving)
-            .filter_map(|m| silence(m).filter(|s| *s >= limit(m)).map(|s| (m.name.clone(), s)))
+            .filter_map(|m| m.silence(now).filter(|s| *s >= limit(m)).map(|s| (m, s)))
+            .filter(|(m, s)| m.unanswered >= UNANSWERED || m.addr.is_none() || *s >= past_lease)
+            .map(|(m, s)| (m.name.to_string(), s))
             .collect();
         // Many at once: rather a cut between us and them than that many dead machines. Deleting
         // them would throw their work away; past its lease a machine has none left.
         // They fall silent within a report's time of each other, so all that are overdue count.
         let probe_ms = self.policy.probe_ms();
-        let overdue =
-            self.machines.values().filter(|m| silence(m).is_some_and(|s| s >= probe_ms)).count();
+        let (mut known, mut overdue) = (0usize, 0usize);
+        for s in self.machines.values().filter_map(|m| m.silence(now)) {
+            known += 1;
+            overdue += usize::from(s >= probe_ms);
+        }
         let cut = known >= SILENT_LEAST && overdue as f64 > known as f64 * SILENT_SHARE;
         // A machine heard in this term shows that we were heard once. A new leader that hears none
         // must not resign: the next would do the same for ever, with nobody to settle them.
         let heard_once = self.machines.values().any(|m| m.up());
-        let past_lease = self.policy.lease_ms + LEASE_MARGIN_MS;
         if cut
             && heard_once
             && silent.len() == known
@@ -199,6 +199,43 @@
                 self.out.push(Effect::Note(format!("machine {name} silent for {s} ms, given up")));
             }
         }
+        if over {
+            self.outlast(now);
+        }
+    }
+
+    /// Past its lease since the take-over a machine of an earlier leader that never showed our
+    /// token holds none of its tasks any more: nobody else can have answered it, and a command that
+    /// is still on its way belongs to a session that has ended. It goes back, and holds up nobody.
+    fn outlast(&mut self, now: Millis) {
+        for (name, stamp) in std::mem::take(&mut self.garbled) {
+            self.fleet.load(&name, stamp, []);
+            self.replan = true;
+        }
+        for m in self.machines.values_mut().filter(|m| m.unsettled()) {
+            m.inherited = false;
+            m.leaving = true;
+            self.replan = true;
+            let ms = now.saturating_sub(self.took_over);
+            self.out.push(Effect::Note(format!("machine {} outlasted its lease, {ms} ms", m.name)));
+        }
+    }
+
+    /// A machine whose reports arrive while launches don't reach it is judged by what it was seen
+    /// to take. Given tasks again and again, it would keep them from running elsewhere.
+    fn watch_deaf(&mut self, now: Millis) {
+        for m in self.machines.values_mut().filter(|m| !m.leaving) {
+            let deaf = m.runs.values().any(|r| {
+                r.phase == Phase::Assigned
+                    && r.sends >= DEAF_SENDS
+                    && now.saturating_sub(r.first_sent) >= DEAF_MS
+            });
+            if deaf {
+                m.leaving = true;
+                let name = &m.name;
+                self.out.push(Effect::Note(format!("machine {name} takes no commands, given up")));
+            }
+        }
     }
 
     /// A machine that is to be taken: tasks that can save do so now, the others finish if they can.
@@ -208,6 +245,7 @@
                 let Some(spec) = &run.spec else { continue };
                 if spec.checkpoint_s > 0.0 && run.stop.is_none() {
                     run.stop = Some(Stop { grace_s: spec.save_s + 1.0, sent_at: None });
+                    self.wake.insert(m.name.to_string());
                 }
             }
         }
@@ -227,14 +265,14 @@
                 r.phase == Phase::Ended(Cause::Done)
                     && self.jobs.get(&r.task.job).is_some_and(|j| !j.stored.get(r.task.index))
             });
-            if !m.up() && !m.unsettled && !m.leaving {
-                let limit = limits.get(&m.kind).copied().unwrap_or(BOOT_GRACE_MS * 6);
+            if !m.up() && !m.inherited && !m.leaving {
+                let limit = limits.get(&*m.kind).copied().unwrap_or(BOOT_GRACE_MS * 6);
                 if now.saturating_sub(m.rented_at) > limit {
                     m.leaving = true;
                     self.out.push(Effect::Note(format!("machine {} never came up", m.name)));
                 }
             }
-            if m.up() && !m.unsettled && no_runs && !m.leaving {
+            if m.up() && no_runs && !m.leaving {
                 let since = *m.empty_since.get_or_insert(now);
                 let wait = if m.spot {
                     self.policy.idle_wait_ms
@@ -248,7 +286,7 @@
             let hears_us = m.heard.is_some_and(|h| now.saturating_sub(h) < self.policy.silence_ms);
             if m.leaving && !(owes && hears_us) {
                 m.deleting = true;
-                back.push(m.name.clone());
+                back.push(m.name.to_string());
             }
         }
         if !back.is_empty() {
@@ -259,17 +297,18 @@
 
 pub(super) fn new_machine(name: &str, kind: &str, zone: &str, spot: bool, now: Millis) -> Machine {
     Machine {
-        name: name.to_string(),
-        kind: kind.to_string(),
-        zone: zone.to_string(),
+        name: name.into(),
+        kind: kind.into(),
+        zone: zone.into(),
         spot,
         addr: None,
         rented_at: now,
         stored: false,
-        storing: false,
-        unsettled: false,
+        inherited: false,
         newest: (0, 0),
         heard: None,
+        expected_since: None,
+        unanswered: 0,
         notice_at: None,
         runs: BTreeMap::new(),
         call: None,
@@ -280,6 +319,6 @@
         empty_since: None,
         failed_jobs: BTreeSet::new(),
         probation_until: 0,
-        images: BTreeSet::new(),
+        images: Arc::default(),
     }
 }
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -13,16 +13,19 @@
 mod reports;
 mod saving;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 use fleet::new_machine;
+use placing::Shapes;
 use reports::stop_runs_of;
+use saving::{results_bytes, stored_of};
 
 use crate::bitmap::Bitmap;
 use crate::constants::*;
 use crate::job::{Demand, Job, JobId, JobSpec, Place, TaskId};
 use crate::machine::*;
+use crate::packs::{PackWrite, Packs, Wrote};
 use crate::placement::{self, Offer, Rank, Room, Tier, Weights};
 use crate::rules;
 use crate::Millis;
@@ -45,6 +48,10 @@
     pub report_ms: Millis,
     /// The workers' lease.
     pub lease_ms: Millis,
+    /// Direct calls open at once, commands and questions together.
+    pub calls_open: usize,
+    /// Bytes of one stored value.
+    pub value_bytes: usize,
     pub teams: Vec<Team>,
     /// What is aimed at for the classes.
     pub aims: Vec<Aim>,
@@ -107,6 +114,23 @@
     pub addr: String,
 }
 
+/// A stored value of the machine set, with its stamp.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredFleet {
+    pub name: String,
+    pub stamp: u64,
+    /// None if it can't be read: then any machine may be in it.
+    pub machines: Option<Vec<StoredMachine>>,
+}
+
+/// A stored value of results, with its stamp: bits of done tasks by job and chunk.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredResults {
+    pub name: String,
+    pub stamp: u64,
+    pub chunks: Vec<(JobId, u32, Vec<u8>)>,
+}
+
 /// A machine as the cloud lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
@@ -142,43 +166,29 @@
     Lost,
 }
 
-/// One change for the state service.
+/// One change for the state service; it costs one put or delete.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Write {
-    Machine(StoredMachine),
-    DropMachine(String),
-    Progress {
-        job: JobId,
-        chunk: u32,
-        bytes: Vec<u8>,
-    },
-    /// The job's record becomes done; the chunks of its results are dropped.
-    /// `stamp` is that of the open record.
-    Done {
-        job: JobId,
-        stamp: u64,
-        tasks: u32,
-        drop_chunks: Vec<u32>,
-    },
-}
-
-impl Write {
-    /// Puts and deletes that it costs.
-    pub fn ops(&self) -> usize {
-        match self {
-            Write::Done { drop_chunks, .. } => 1 + drop_chunks.len(),
-            _ => 1,
-        }
-    }
+    /// A value of the machine set; without machines it is dropped.
+    Fleet { pack: PackWrite<String>, machines: Vec<StoredMachine> },
+    /// A value of results; without any it is dropped.
+    Results { pack: PackWrite<(JobId, u32)>, chunks: Vec<(JobId, u32, Vec<u8>)> },
+    /// The job's record becomes done. `stamp` is that of the open record.
+    Done { job: JobId, stamp: u64, tasks: u32 },
 }
 
 /// How a batch of writes ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SaveOutcome {
-    Ok,
-    Failed,
-    /// Nothing was written, since these jobs have been changed by somebody else.
-    Conflict(Vec<JobId>),
+    /// With the stamp that all of it has now.
+    Ok(u64),
+    /// Surely not written, and never will be.
+    NotDone,
+    /// May have been written, or may be later.
+    Unknown,
+    /// Nothing was written, since these have changed: jobs closed by somebody else, values of
+    /// which an earlier write came late.
+    Conflict { jobs: Vec<JobId>, fleet: Vec<String>, results: Vec<String> },
 }
 
 /// What happens to the leader.
@@ -286,31 +296,64 @@
     rotate: usize,
     listed_at: Option<Millis>,
     finished: BTreeSet<JobId>,
-    dirty_jobs: BTreeSet<JobId>,
-    dirty_machines: BTreeSet<String>,
-    dropped_machines: BTreeSet<String>,
+    /// Values of the machine set that can't be read: until every lease of before this term has run
+    /// out, tasks may be on machines that we do not know.
+    garbled: Vec<(String, u64)>,
+    fleet: Packs<String>,
+    results: Packs<(JobId, u32)>,
+    shapes: Shapes,
+    /// Jobs with waiting tasks, in the order of the last round, and machines whose room it holds.
+    queue: Vec<JobId>,
+    held: HashMap<Arc<str>, usize>,
+    /// Machines for which there may be something to send now, or at the next tick.
+    wake: BTreeSet<String>,
+    wake_later: BTreeSet<String>,
+    /// Direct calls that are open, and whether each only asks.
+    calls: HashMap<u64, bool>,
+    probes_open: usize,
     out: Vec<Effect>,
 }
 
 impl Cluster {
-    /// A fresh leader's picture: `inherited` is the stored set of machines.
+    /// A fresh leader's picture: `inherited` is the stored set of machines, `results` what is stored
+    /// of jobs that are open.
     pub fn new(
         policy: Policy,
         token: u64,
         types: Vec<MachineType>,
-        inherited: Vec<StoredMachine>,
+        inherited: Vec<StoredFleet>,
+        results: Vec<StoredResults>,
         now: Millis,
     ) -> Self {
-        let machines = inherited
-            .into_iter()
-            .map(|s| {
+        let most = (policy.value_bytes as f64 * VALUE_FILLED) as usize;
+        let mut fleet = Packs::new(token, most, FLEET_GAP_MS);
+        let mut machines = BTreeMap::new();
+        let mut garbled = Vec::new();
+        for f in inherited {
+            let Some(stored) = f.machines else {
+                garbled.push((f.name, f.stamp));
+                continue;
+            };
+            fleet.load(&f.name, f.stamp, stored.iter().map(|s| (s.name.clone(), s.bytes())));
+            for s in stored {
                 let mut m = new_machine(&s.name, &s.kind, &s.zone, s.spot, now);
                 m.addr = Some(s.addr);
                 m.stored = true;
-                m.unsettled = true;
-                (s.name, m)
-            })
-            .collect();
+                m.inherited = true;
+                m.expected_since = Some(now);
+                machines.insert(s.name, m);
+            }
+        }
+        let mut kept = Packs::new(token, most, RESULTS_GAP_MS);
+        for r in results {
+            kept.load(
+                &r.name,
+                r.stamp,
+                r.chunks
+                    .iter()
+                    .map(|(job, chunk, bytes)| ((*job, *chunk), results_bytes(bytes.len()))),
+            );
+        }
         Cluster {
             policy,
             token,
@@ -330,9 +373,16 @@
             rotate: token as usize,
             listed_at: None,
             finished: BTreeSet::new(),
-            dirty_jobs: BTreeSet::new(),
-            dirty_machines: BTreeSet::new(),
-            dropped_machines: BTreeSet::new(),
+            garbled,
+            fleet,
+            results: kept,
+            shapes: Shapes::default(),
+            queue: Vec::new(),
+            held: HashMap::new(),
+            wake: BTreeSet::new(),
+            wake_later: BTreeSet::new(),
+            calls: HashMap::new(),
+            probes_open: 0,
             out: Vec::new(),
         }
     }
@@ -343,27 +393,22 @@
 
     /// Unfinished jobs with their counts of tasks done and running, for display.
     pub fn progress(&self) -> impl Iterator<Item = (JobId, u32, u32)> + '_ {
-        self.jobs.iter().map(|(id, job)| {
-            let running = job
-                .placed
-                .iter()
-                .filter(|(index, place)| {
-                    let key = (TaskId { job: *id, index: **index }, place.attempt);
-                    self.machines
-                        .get(&place.machine)
-                        .and_then(|m| m.runs.get(&key))
-                        .is_some_and(|r| matches!(r.phase, Phase::Running | Phase::Saving))
-                })
-                .count();
-            (*id, job.done.ones(), running as u32)
-        })
+        let mut running: HashMap<JobId, u32> = HashMap::new();
+        for run in self.machines.values().flat_map(|m| m.runs.values()) {
+            if matches!(run.phase, Phase::Running | Phase::Saving) {
+                *running.entry(run.task.job).or_default() += 1;
+            }
+        }
+        self.jobs
+            .iter()
+            .map(move |(id, job)| (*id, job.done.ones(), running.get(id).copied().unwrap_or(0)))
     }
 
     /// What the cluster looks like, for the log.
     pub fn summary(&self) -> Summary {
         let mut s = Summary::default();
         for m in self.machines.values() {
-            s.unsettled += usize::from(m.unsettled);
+            s.unsettled += usize::from(m.unsettled());
             if !m.up() {
                 s.promised += 1;
                 continue;
@@ -396,9 +441,9 @@
             .filter(|m| match m.heard {
                 Some(heard) => now >= heard + self.policy.overdue_ms(),
                 // Asked directly at the take-over, it should have answered by now.
-                None => m.unsettled && now >= self.took_over + UNSETTLED_MS,
+                None => m.unsettled() && now >= self.took_over + UNSETTLED_MS,
             })
-            .map(|m| m.name.clone())
+            .map(|m| m.name.to_string())
             .take(OVERDUE_MOST)
             .collect()
     }
@@ -427,15 +472,11 @@
             Event::Hired { hire, outcome } => self.on_hired(now, &hire, outcome),
             Event::Returned { names, ok } => self.on_returned(now, names, ok),
             Event::Listed(listed) => self.on_listed(now, listed),
-            Event::Saved { writes, outcome } => self.on_saved(writes, outcome),
+            Event::Saved { writes, outcome } => self.on_saved(now, writes, outcome),
             Event::Types(types) => self.types = types,
             Event::Tick => self.on_tick(now),
         }
-        if !self.finished.is_empty()
-            || !self.dirty_jobs.is_empty()
-            || !self.dirty_machines.is_empty()
-            || !self.dropped_machines.is_empty()
-        {
+        if !self.finished.is_empty() || self.fleet.due(now) || self.results.due(now) {
             self.out.push(Effect::Save);
         }
         std::mem::take(&mut self.out)
@@ -456,7 +497,10 @@
         let finished = done.full();
         // The record's stamp is that of its creation while the job is open.
         let inherited = stamp < self.token;
-        self.jobs.insert(id, Job::new(spec, submitted_at, stamp, inherited, done));
+        let shape = self.shapes.of(&spec);
+        let mut job = Job::new(spec, submitted_at, stamp, inherited, done);
+        job.shape = shape;
+        self.jobs.insert(id, job);
         if finished {
             self.finished.insert(id);
         }
@@ -468,9 +512,11 @@
             return;
         }
         self.finished.remove(&id);
-        self.dirty_jobs.remove(&id);
-        for m in self.machines.values_mut() {
-            stop_runs_of(m, id);
+        self.forget_results(id);
+        for (name, m) in &mut self.machines {
+            if stop_runs_of(m, id) {
+                self.wake.insert(name.clone());
+            }
         }
         self.replan = true;
         self.flush(now, None);
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -5,7 +5,7 @@
 use super::*;
 
 /// What makes two jobs alike for placing: decided once, as a class, in each round.
-#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Shape {
     demand: [u64; 3],
     types: Option<Vec<String>>,
@@ -13,28 +13,41 @@
     spot: bool,
 }
 
-impl Shape {
-    fn of(spec: &JobSpec) -> Self {
+/// The shapes that this term has seen, by number.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Shapes(HashMap<Shape, usize>);
+
+impl Shapes {
+    pub fn of(&mut self, spec: &JobSpec) -> usize {
         let d = &spec.demand;
-        Shape {
+        let shape = Shape {
             demand: [d.cpus.to_bits(), d.gpus.to_bits(), d.memory_gb.to_bits()],
             types: spec.types.clone(),
             zone: spec.zone.clone(),
             spot: spec.spot,
-        }
+        };
+        let next = self.0.len();
+        *self.0.entry(shape).or_insert(next)
     }
 }
 
+/// What one round found of a shape.
+#[derive(Clone, Copy, Default)]
+struct Found {
+    /// No ready room, no promised room, nothing to rent; room is held for it.
+    no_ready: bool,
+    no_promise: bool,
+    no_offer: bool,
+    held: bool,
+    /// Waiting tasks of the jobs not yet looked at.
+    to_come: u32,
+}
+
 /// What one round of placing carries from job to job.
 struct Round {
     rooms: Vec<Room>,
     total: Demand,
-    /// Shapes that found no ready room, no promised room, nothing to rent.
-    no_ready: HashSet<Shape>,
-    no_promise: HashSet<Shape>,
-    no_offer: HashSet<Shape>,
-    /// Waiting tasks of the jobs not yet looked at, by shape.
-    to_come: HashMap<Shape, u32>,
+    shapes: Vec<Found>,
     /// CPUs and GPUs in use of teams that have a limit.
     used: BTreeMap<String, (f64, f64)>,
     /// A run of unknown size and team is somewhere.
@@ -43,87 +56,98 @@
 
 impl Cluster {
     pub(super) fn plan_due(&self, now: Millis) -> bool {
-        // Rounds are apart, so that many reports in a row cost one.
-        self.last_plan.is_none_or(|t| now >= t + 100)
-            && (self.replan || self.last_plan.is_none_or(|t| now >= t + 1_000))
+        // Rounds are apart, so that many changes in a row cost one.
+        self.last_plan
+            .is_none_or(|t| now >= t + ROUND_MS && (self.replan || now >= t + ROUND_IDLE_MS))
+    }
+
+    /// The room of a machine, if it may be counted on; up ones take no more tasks when they get
+    /// silent, and still count as running.
+    fn room_of(&self, now: Millis, m: &Machine) -> Option<Room> {
+        if m.leaving
+            || m.unsettled()
+            || m.is_slow()
+            || m.notice_at.is_some()
+            || now < m.probation_until
+        {
+            return None;
+        }
+        let t = self.type_of(&m.kind)?;
+        let used = m.used()?;
+        if !m.up() && now.saturating_sub(m.rented_at) > self.boot_limit(&m.kind, BOOT_LATE) {
+            return None;
+        }
+        Some(Room {
+            machine: Some(m.name.clone()),
+            kind: m.kind.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            size: t.cpus,
+            images: m.images.clone(),
+            free: Demand {
+                cpus: t.cpus - used.cpus,
+                gpus: t.gpus - used.gpus,
+                memory_gb: t.memory_gb - used.memory_gb,
+            },
+            ready: m.up() && m.stored,
+            held: None,
+        })
     }
 
     fn rooms(&self, now: Millis) -> (Vec<Room>, Demand) {
-        let mut rooms = Vec::new();
+        let mut rooms = Vec::with_capacity(self.machines.len());
         let mut total = Demand::default();
         for m in self.machines.values() {
-            if m.leaving
-                || m.unsettled
-                || m.is_slow()
-                || m.notice_at.is_some()
-                || now < m.probation_until
-            {
-                continue;
-            }
-            let Some(t) = self.type_of(&m.kind) else { continue };
-            let Some(used) = m.used() else { continue };
-            if m.up() {
+            let Some(room) = self.room_of(now, m) else { continue };
+            if let (true, Some(t)) = (m.up(), self.type_of(&m.kind)) {
                 total.cpus += t.cpus;
                 total.gpus += t.gpus;
                 total.memory_gb += t.memory_gb;
                 if m.silent_for(now, self.policy.probe_ms()) {
                     continue;
                 }
-            } else if now.saturating_sub(m.rented_at) > self.boot_limit(&m.kind, BOOT_LATE) {
-                continue;
             }
-            rooms.push(Room {
-                machine: Some(m.name.clone()),
-                kind: m.kind.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                free: Demand {
-                    cpus: t.cpus - used.cpus,
-                    gpus: t.gpus - used.gpus,
-                    memory_gb: t.memory_gb - used.memory_gb,
-                },
-                ready: m.up() && m.stored,
-                held: false,
-                score: 0.0,
-            });
+            rooms.push(room);
         }
         for h in self.hires.values() {
             if let Some(t) = self.type_of(&h.offer.kind) {
-                for _ in 0..h.number {
-                    rooms.push(promised(&h.offer, t));
-                }
+                rooms.extend((0..h.number).map(|_| promised(&h.offer, t)));
             }
         }
         (rooms, total)
     }
 
-    pub(super) fn plan(&mut self, now: Millis) {
-        self.last_plan = Some(now);
-        self.replan = false;
-        let (rooms, total) = self.rooms(now);
+    fn any_limit(&self) -> bool {
+        self.policy.teams.iter().any(has_limit)
+    }
+
+    /// What the teams use, which only limits ask for.
+    fn used_by_teams(&self) -> (BTreeMap<String, (f64, f64)>, bool) {
         let mut used: BTreeMap<String, (f64, f64)> = BTreeMap::new();
         let mut unknown_runs = false;
-        for run in self.machines.values().flat_map(|m| m.runs.values()).filter(|r| r.live()) {
-            match &run.spec {
-                Some(s) => {
-                    let u = used.entry(s.team.clone()).or_default();
-                    u.0 += s.demand.cpus;
-                    u.1 += s.demand.gpus;
+        if self.any_limit() {
+            for run in self.machines.values().flat_map(|m| m.runs.values()).filter(|r| r.live()) {
+                match &run.spec {
+                    Some(s) => {
+                        let u = used.entry(s.team.clone()).or_default();
+                        u.0 += s.demand.cpus;
+                        u.1 += s.demand.gpus;
+                    }
+                    None => unknown_runs = true,
                 }
-                None => unknown_runs = true,
             }
         }
-        let mut round = Round {
-            rooms,
-            total,
-            no_ready: HashSet::new(),
-            no_promise: HashSet::new(),
-            no_offer: HashSet::new(),
-            to_come: HashMap::new(),
-            used,
-            unknown_runs,
-        };
-        let unsettled = self.machines.values().any(|m| m.unsettled);
+        (used, unknown_runs)
+    }
+
+    pub(super) fn plan(&mut self, now: Millis) {
+        self.last_plan = Some(now);
+        self.replan = false;
+        let (rooms, total) = self.rooms(now);
+        let (used, unknown_runs) = self.used_by_teams();
+        let shapes = vec![Found::default(); self.shapes.0.len()];
+        let mut round = Round { rooms, total, shapes, used, unknown_runs };
+        let unsettled = !self.garbled.is_empty() || self.machines.values().any(Machine::unsettled);
         let guaranteed = self.guaranteed_jobs();
         let mut order: Vec<(Rank, JobId)> = self
             .jobs
@@ -153,22 +177,81 @@
         self.step_back(now, &mut order, &round.total);
         order.sort_by(by_rank);
         for job in order.iter().filter_map(|(_, id)| self.jobs.get(id)) {
-            *round.to_come.entry(Shape::of(&job.spec)).or_default() += job.waiting();
+            round.shapes[job.shape].to_come += job.waiting();
         }
-        for (_, id) in order {
-            self.place_job(now, id, &mut round);
+        for (_, id) in &order {
+            self.place_job(now, *id, &mut round);
+        }
+        // What single reports free until the next round goes to these, in this order.
+        self.queue = order
+            .into_iter()
+            .map(|(_, id)| id)
+            .filter(|id| self.jobs.get(id).is_some_and(|j| j.waiting() > 0))
+            .collect();
+        let held = round.rooms.into_iter();
+        self.held = held.filter_map(|r| Some((r.machine?, r.held?))).collect();
+    }
+
+    /// Fills what a machine's own report has freed, by the order of the last round: as that round
+    /// would have done, had it come now. Jobs whose room depends on more than this machine wait for
+    /// the next round.
+    pub(super) fn fill(&mut self, now: Millis, machine: &str) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let Some(mut room) = self.machines.get(machine).and_then(|m| self.room_of(now, m)) else {
+            return;
+        };
+        if !room.ready {
+            return;
+        }
+        let mut placed = Vec::new();
+        let mut empty = 0;
+        // Held room is for the jobs of a shape and those before them.
+        let held = self.held.get(machine).copied();
+        let mut reached = false;
+        for id in &self.queue {
+            let Some(job) = self.jobs.get(id).filter(|j| j.waiting() > 0) else {
+                empty += 1;
+                continue;
+            };
+            reached |= held == Some(job.shape);
+            if reached && held != Some(job.shape) {
+                continue;
+            }
+            let spec = &job.spec;
+            let n = room.holds(&spec.demand).min(job.waiting());
+            if n < self.policy.slice.max(1).min(job.waiting())
+                || job.pause_until > now
+                || spec.one_zone
+                || spec.spread
+                || !placement::allowed(spec, &room.kind, &room.zone, room.spot)
+                || (!job.suspect() && job.failed_on.contains(machine))
+                || self.policy.teams.iter().any(|t| t.name == spec.team && has_limit(t))
+            {
+                continue;
+            }
+            let slice = self.policy.slice.max(1);
+            let n = if n < job.waiting() { n / slice * slice } else { n };
+            room.take(&spec.demand, n);
+            placed.push((*id, spec.clone(), n));
+            if room.free.cpus <= 0.0 {
+                break;
+            }
+        }
+        for (id, spec, n) in placed {
+            self.assign(id, &spec, machine, n);
+        }
+        if empty * 2 > self.queue.len() {
+            let jobs = &self.jobs;
+            self.queue.retain(|id| jobs.get(id).is_some_and(|j| j.waiting() > 0));
         }
     }
 
     /// Whether a job may not start anything while a machine is unsettled: an earlier leader may
     /// have launched its tasks, or its team's limit depends on what runs there.
     fn waits_for_settling(&self, job: &Job) -> bool {
-        job.inherited
-            || self
-                .policy
-                .teams
-                .iter()
-                .any(|t| t.name == job.spec.team && (t.cpus_max > 0.0 || t.gpus_max > 0.0))
+        job.inherited || self.policy.teams.iter().any(|t| t.name == job.spec.team && has_limit(t))
     }
 
     /// Jobs that fit into their team's guarantee together with the team's earlier ones.
@@ -195,7 +278,7 @@
     /// How many more tasks the team's limit allows.
     fn limit_left(&self, spec: &JobSpec, round: &Round) -> u32 {
         let Some(team) = self.policy.teams.iter().find(|t| t.name == spec.team) else { return 0 };
-        if team.cpus_max <= 0.0 && team.gpus_max <= 0.0 {
+        if !has_limit(team) {
             return u32::MAX;
         }
         if round.unknown_runs {
@@ -273,17 +356,15 @@
 
     fn place_job(&mut self, now: Millis, id: JobId, round: &mut Round) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let spec = job.spec.clone();
-        let shape = Shape::of(&spec);
-        if let Some(n) = round.to_come.get_mut(&shape) {
-            *n = n.saturating_sub(job.waiting());
-        }
-        let waiting = job.waiting().min(self.limit_left(&spec, round));
+        let (spec, shape) = (job.spec.clone(), job.shape);
+        let all = job.waiting();
+        round.shapes[shape].to_come = round.shapes[shape].to_come.saturating_sub(all);
+        let waiting = all.min(self.limit_left(&spec, round));
         if waiting == 0 {
             return;
         }
         let mut left = waiting;
-        if !round.no_ready.contains(&shape) {
+        if !round.shapes[shape].no_ready {
             left -= self.fill_ready(id, &spec, waiting, round);
         }
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -297,61 +378,73 @@
         let passed = now.saturating_sub(*job.passed_since.get_or_insert(now));
         let zoned = spec.one_zone || spec.spread;
         if !zoned && job.failed_on.is_empty() {
-            round.no_ready.insert(shape.clone());
+            round.shapes[shape].no_ready = true;
         }
-        if !round.no_promise.contains(&shape) {
+        if !round.shapes[shape].no_promise {
             left -= fill_promised(&spec, left, round);
             if left == 0 {
                 return;
             }
-            round.no_promise.insert(shape.clone());
+            round.shapes[shape].no_promise = true;
         }
-        if !round.no_offer.contains(&shape) {
-            left -= self.rent(now, &spec, left, passed, round);
+        if !round.shapes[shape].no_offer {
+            left -= self.rent(now, &spec, shape, left, passed, round);
             if left == 0 {
                 return;
             }
-            round.no_offer.insert(shape);
+            round.shapes[shape].no_offer = true;
         }
-        if passed >= self.policy.pass_over_ms {
-            self.hold(&spec, left, round);
+        if passed >= self.policy.pass_over_ms && !round.shapes[shape].held {
+            // Once for all of the shape that wait.
+            round.shapes[shape].held = true;
+            let alike = round.shapes[shape].to_come;
+            self.hold(&spec, shape, left.saturating_add(alike), round);
         }
     }
 
     /// Places whole slices on machines that are up, by rising score; returns how many tasks.
     fn fill_ready(&mut self, id: JobId, spec: &Arc<JobSpec>, want: u32, round: &mut Round) -> u32 {
         let Some(job) = self.jobs.get(&id) else { return 0 };
-        let live: Vec<String> = job
-            .placed
-            .values()
-            .filter_map(|p| self.machines.get(&p.machine).map(|m| m.zone.clone()))
-            .collect();
+        let zoned = spec.one_zone || spec.spread;
+        let live: Vec<Arc<str>> = match zoned {
+            true => {
+                let on = job.placed.values().filter_map(|p| self.machines.get(&*p.machine));
+                on.map(|m| m.zone.clone()).collect()
+            }
+            false => Vec::new(),
+        };
         let avoid = |room: &Room| {
-            !job.suspect() && room.machine.as_ref().is_some_and(|m| job.failed_on.contains(m))
+            !job.failed_on.is_empty()
+                && !job.suspect()
+                && room.machine.as_ref().is_some_and(|m| job.failed_on.contains(&**m))
         };
-        let mut candidates: Vec<usize> = (0..round.rooms.len())
-            .filter(|i| {
-                let r = &round.rooms[*i];
+        let weights = self.policy.weights;
+        let mut keyed: Vec<((bool, f64, bool, f64), usize)> = round
+            .rooms
+            .iter()
+            .enumerate()
+            .filter(|(_, r)| {
                 r.ready
-                    && !r.held
+                    && r.held.is_none()
                     && r.holds(&spec.demand) > 0
                     && placement::allowed(spec, &r.kind, &r.zone, r.spot)
                     && !avoid(r)
             })
+            .map(|(i, r)| {
+                let score = placement::score(&r.free, &round.total, &weights);
+                ((!r.images.contains(&spec.image), r.size, !r.spot, score), i)
+            })
             .collect();
-        let weights = self.policy.weights;
-        for i in &candidates {
-            let r = &mut round.rooms[*i];
-            r.score = placement::score(&r.free, &round.total, &weights);
-        }
-        candidates.sort_by(|a, b| {
-            let (a, b) = (&round.rooms[*a], &round.rooms[*b]);
-            let key = |r: &Room| {
-                let size = self.type_of(&r.kind).map_or(0.0, |t| t.cpus);
-                (!self.is_warm(r, &spec.image), size, !r.spot, r.score)
-            };
-            key(a).partial_cmp(&key(b)).unwrap_or(std::cmp::Ordering::Equal)
-        });
+        let by_key = |a: &((bool, f64, bool, f64), usize), b: &((bool, f64, bool, f64), usize)| {
+            a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)
+        };
+        // Each takes one task at least; without a say of the zones the first so many are enough.
+        if !zoned && keyed.len() > want as usize {
+            keyed.select_nth_unstable_by(want as usize, by_key);
+            keyed.truncate(want as usize);
+        }
+        keyed.sort_by(by_key);
+        let mut candidates: Vec<usize> = keyed.into_iter().map(|(_, i)| i).collect();
         if spec.one_zone {
             // Where its live tasks are, or else where most of them fit.
             let zone = live.first().cloned().or_else(|| {
@@ -360,11 +453,11 @@
                     let r = &round.rooms[*i];
                     *by_zone.entry(&r.zone).or_default() += u64::from(r.holds(&spec.demand));
                 }
-                by_zone.iter().max_by_key(|(_, n)| **n).map(|(z, _)| z.to_string())
+                by_zone.iter().max_by_key(|(_, n)| **n).map(|(z, _)| Arc::from(*z))
             });
             candidates.retain(|i| Some(&round.rooms[*i].zone) == zone.as_ref());
         }
-        let mut zone_left: BTreeMap<String, u32> = BTreeMap::new();
+        let mut zone_left: BTreeMap<Arc<str>, u32> = BTreeMap::new();
         if spec.spread {
             for i in &candidates {
                 let zone = &round.rooms[*i].zone;
@@ -406,18 +499,14 @@
                 self.assign(id, spec, &machine, here);
             }
         }
-        let used = round.used.entry(spec.team.clone()).or_default();
-        used.0 += spec.demand.cpus * f64::from(placed);
-        used.1 += spec.demand.gpus * f64::from(placed);
+        if self.any_limit() {
+            let used = round.used.entry(spec.team.clone()).or_default();
+            used.0 += spec.demand.cpus * f64::from(placed);
+            used.1 += spec.demand.gpus * f64::from(placed);
+        }
         placed
     }
 
-    /// Whether a machine has fetched an image.
-    fn is_warm(&self, room: &Room, image: &str) -> bool {
-        let machine = room.machine.as_ref().and_then(|name| self.machines.get(name));
-        machine.is_some_and(|m| m.images.contains(image))
-    }
-
     fn assign(&mut self, id: JobId, spec: &Arc<JobSpec>, machine: &str, n: u32) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(m) = self.machines.get_mut(machine) else { return };
@@ -425,7 +514,7 @@
             self.next_attempt += 1;
             let attempt = (self.token << ATTEMPT_BITS) | self.next_attempt;
             let task = TaskId { job: id, index };
-            job.placed.insert(index, Place { machine: machine.to_string(), attempt });
+            job.place(index, Place { machine: m.name.clone(), attempt });
             m.runs.insert(
                 (task, attempt),
                 Run {
@@ -434,13 +523,15 @@
                     spec: Some(spec.clone()),
                     phase: Phase::Assigned,
                     stop: None,
-                    launch_sent: false,
+                    sends: 0,
+                    first_sent: 0,
                     lost_call: false,
                     running_since: None,
                 },
             );
         }
         m.empty_since = None;
+        self.wake.insert(machine.to_string());
     }
 
     /// Rents the first choice that is not known to be exhausted; returns for how many tasks.
@@ -448,6 +539,7 @@
         &mut self,
         now: Millis,
         spec: &JobSpec,
+        shape: usize,
         left: u32,
         passed: Millis,
         round: &mut Round,
@@ -470,7 +562,7 @@
         // Like tasks are decided as a class: one call for all of this shape, not one a job. Team
         // limits are left to each job.
         let alike = match self.limit_left(spec, round) {
-            u32::MAX => round.to_come.get(&Shape::of(spec)).copied().unwrap_or(0),
+            u32::MAX => round.shapes[shape].to_come,
             _ => 0,
         };
         let number = left.saturating_add(alike).div_ceil(per_machine).min(HIRE_MOST);
@@ -483,18 +575,20 @@
         self.hires.insert(hire.clone(), Hire { offer: offer.clone(), number });
         self.out.push(Effect::Hire { hire, offer, number });
         // What is left of the new machines is promised room for other shapes.
-        round.no_promise.clear();
+        for found in &mut round.shapes {
+            found.no_promise = false;
+        }
         fill_promised(spec, left, round)
     }
 
     /// Keeps the roomiest machines for a job that was passed over too long.
-    fn hold(&self, spec: &JobSpec, left: u32, round: &mut Round) {
+    fn hold(&self, spec: &JobSpec, shape: usize, left: u32, round: &mut Round) {
         let mut could: Vec<(usize, u32)> = round
             .rooms
             .iter()
             .enumerate()
             .filter(|(_, r)| {
-                r.ready && !r.held && placement::allowed(spec, &r.kind, &r.zone, r.spot)
+                r.ready && r.held.is_none() && placement::allowed(spec, &r.kind, &r.zone, r.spot)
             })
             .filter_map(|(i, r)| {
                 let per = self.type_of(&r.kind)?.holds(&spec.demand);
@@ -510,7 +604,7 @@
             if left == 0 {
                 break;
             }
-            round.rooms[i].held = true;
+            round.rooms[i].held = Some(shape);
             left = left.saturating_sub(per);
         }
     }
@@ -520,16 +614,21 @@
 fn promised(offer: &Offer, t: &MachineType) -> Room {
     Room {
         machine: None,
-        kind: offer.kind.clone(),
-        zone: offer.zone.clone(),
+        kind: offer.kind.as_str().into(),
+        zone: offer.zone.as_str().into(),
         spot: offer.spot,
+        size: t.cpus,
+        images: Arc::default(),
         free: Demand { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb },
         ready: false,
-        held: false,
-        score: 0.0,
+        held: None,
     }
 }
 
+fn has_limit(team: &Team) -> bool {
+    team.cpus_max > 0.0 || team.gpus_max > 0.0
+}
+
 /// Counts waiting tasks against machines that will be up; returns for how many there is room.
 fn fill_promised(spec: &JobSpec, want: u32, round: &mut Round) -> u32 {
     let mut left = want;
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -7,50 +7,67 @@
 
 impl Cluster {
     pub(super) fn on_report(&mut self, now: Millis, r: &Report) {
-        if self.gone.contains(&r.machine) {
-            // A late report of a machine that is surely gone.
-            self.out.push(Effect::Answer(Vec::new()));
-            return;
-        }
-        if !self.machines.contains_key(&r.machine) {
-            // A rental that was executed late, or whose answer was lost. It is not in the stored
-            // set, so no leader has launched anything on it.
-            let m = new_machine(&r.machine, &r.kind, &r.zone, r.spot, now);
-            self.machines.insert(r.machine.clone(), m);
-            self.out.push(Effect::Note(format!("machine {} adopted from its report", r.machine)));
-        }
         if r.token > self.token {
             self.out.push(Effect::Resign("a machine holds a higher token"));
             return;
         }
-        if !self.apply(now, r) {
-            self.out.push(Effect::Answer(Vec::new()));
-            return;
+        if !self.gone.contains(&r.machine) {
+            self.meet(now, r);
+            if self.apply(now, r) {
+                if self.plan_due(now) {
+                    self.plan(now);
+                }
+                self.fill(now, &r.machine);
+                let answer = self.answer(now, &r.machine);
+                self.out.push(Effect::Answer(answer));
+                self.flush(now, Some(&r.machine));
+                return;
+            }
         }
-        if self.plan_due(now) {
-            self.plan(now);
+        // Old news, or a machine that has yet to see our token: it hears it now, and reports again
+        // at once. A late copy gets the same answer, which nobody reads.
+        self.out.push(Effect::Answer(Vec::new()));
+    }
+
+    /// A report of a machine that we do not know: a rental that was executed late, or whose answer
+    /// was lost. It is not in the stored set, so no leader has launched anything on it. Only with
+    /// our token it is surely there: a copy from before this term may be of a machine long gone.
+    fn meet(&mut self, now: Millis, r: &Report) {
+        if r.token < self.token || self.machines.contains_key(&r.machine) {
+            return;
         }
-        let answer = self.answer(now, &r.machine);
-        self.out.push(Effect::Answer(answer));
-        self.flush(now, Some(&r.machine));
+        let m = new_machine(&r.machine, &r.kind, &r.zone, r.spot, now);
+        self.machines.insert(r.machine.clone(), m);
+        self.out.push(Effect::Note(format!("machine {} adopted from its report", r.machine)));
     }
 
-    /// Takes in what a machine says; false if it is old news.
+    /// Takes in what a machine says; false if it is old news or proves nothing.
     pub(super) fn apply(&mut self, now: Millis, r: &Report) -> bool {
         let Some(m) = self.machines.get_mut(&r.machine) else { return false };
         if (r.session, r.seq) <= m.newest {
             return false;
         }
-        let first = m.heard.is_none();
         let moved = r.session > m.newest.0;
         m.newest = (r.session, r.seq);
+        if r.token < self.token {
+            // It may be a late copy. Where to ask is learnt from it, no more.
+            if m.addr.is_none() {
+                m.addr = Some(r.addr.clone());
+                m.expected_since = Some(now);
+                m.call_after = now + PROBE_NEW_MS;
+            }
+            return false;
+        }
+        let first = m.heard.is_none();
         m.heard = Some(now);
+        m.unanswered = 0;
         m.addr = Some(r.addr.clone());
         m.notice_at = r.notice_s.map(|s| now.saturating_add((s.max(0.0) * 1000.0) as Millis));
         if first {
             self.replan = true;
-            if !m.stored && !m.storing {
-                self.dirty_machines.insert(r.machine.clone());
+            if !m.stored {
+                let size = stored_of(m).bytes();
+                self.fleet.put(r.machine.clone(), size, true);
             }
         }
         if moved && !m.runs.is_empty() {
@@ -68,14 +85,6 @@
             self.replan = true;
         }
         let Some(m) = self.machines.get_mut(&r.machine) else { return false };
-        if m.unsettled {
-            if r.token < self.token {
-                // Proves nothing: a command of an earlier leader may arrive after it was sent.
-                return true;
-            }
-            m.unsettled = false;
-            self.replan = true;
-        }
         let listed: HashSet<(TaskId, u64)> = r.tasks.iter().map(|t| (t.task, t.attempt)).collect();
         let vanished: Vec<(TaskId, u64)> = m
             .runs
@@ -114,7 +123,9 @@
         if t.phase == Phase::Running {
             run.running_since.get_or_insert(now);
             if let Some(spec) = &run.spec {
-                m.images.insert(spec.image.clone());
+                if !m.images.contains(&spec.image) {
+                    Arc::make_mut(&mut m.images).insert(spec.image.clone());
+                }
             }
         }
         if let Phase::Ended(cause) = t.phase {
@@ -124,7 +135,6 @@
     }
 
     pub(super) fn on_ended(&mut self, now: Millis, machine: &str, run: &Run, cause: Cause) {
-        self.replan = true;
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
         let Some(m) = self.machines.get_mut(machine) else { return };
         match cause {
@@ -144,15 +154,13 @@
                         }
                     }
                 }
-                if job.done.set(run.task.index) {
-                    job.dirty.insert(run.task.index / CHUNK_TASKS);
-                    self.dirty_jobs.insert(run.task.job);
-                }
-                if job.placed.get(&run.task.index).is_some_and(|p| p.attempt == run.attempt) {
-                    job.placed.remove(&run.task.index);
-                }
+                let news = job.complete(run.task.index, run.attempt);
                 if job.done.full() {
                     self.finished.insert(run.task.job);
+                } else if news {
+                    let chunk = run.task.index / CHUNK_TASKS;
+                    let size = results_bytes(job.done.chunk(chunk).len());
+                    self.results.put((run.task.job, chunk), size, false);
                 }
                 return;
             }
@@ -182,9 +190,10 @@
     pub(super) fn released(&mut self, machine: &str, run: &Run) {
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
         let index = run.task.index;
-        let here = |p: &Place| p.machine == machine && p.attempt == run.attempt;
+        let here = |p: &Place| *p.machine == *machine && p.attempt == run.attempt;
         if job.placed.get(&index).is_some_and(here) {
             job.give_back(index);
+            self.replan = true;
         }
     }
 
@@ -200,17 +209,19 @@
     /// The commands of a report's answer: everything that the machine has not yet been seen to do.
     pub(super) fn answer(&mut self, now: Millis, machine: &str) -> Vec<Command> {
         let Some(m) = self.machines.get_mut(machine) else { return Vec::new() };
-        if m.unsettled {
+        if !m.up() {
             return Vec::new();
         }
+        self.wake.remove(machine);
         let mut commands = Vec::new();
+        let mut forgets = Vec::new();
         let call_open = m.call.is_some();
         for ((task, attempt), run) in &mut m.runs {
             let (task, attempt) = (*task, *attempt);
             match run.phase {
                 Phase::Assigned => {
                     commands.push(Command::Launch { task, attempt });
-                    run.launch_sent = true;
+                    run.sent(now);
                     // A cancelled launch may still arrive directly. Started and stopped here, the
                     // attempt is known to the machine and the late command does nothing.
                     push_stop(run, now, true, &mut commands);
@@ -222,50 +233,98 @@
                     let kept = cause == Cause::Done
                         && self.jobs.get(&task.job).is_some_and(|j| !j.stored.get(task.index));
                     if !kept && !run.lost_call && !call_open {
-                        commands.push(Command::Forget { task, attempt });
+                        forgets.push(Command::Forget { task, attempt });
                     }
                 }
             }
         }
+        // Forgetting is a change that the worker reports; by itself it is not worth that.
+        if !commands.is_empty() || forgets.len() >= FORGET_LEAST {
+            commands.append(&mut forgets);
+        }
         commands
     }
 
-    /// Sends what should not wait for the next report.
+    /// Sends what should not wait for the next report, to the machines that were woken.
     pub(super) fn flush(&mut self, now: Millis, except: Option<&str>) {
-        let probe_ms = self.policy.probe_ms();
-        for m in self.machines.values_mut() {
-            if except == Some(m.name.as_str()) || m.call.is_some() || now < m.call_after {
+        for name in std::mem::take(&mut self.wake) {
+            // With a call open, its end wakes the machine again.
+            let Some(m) = self.machines.get_mut(&name).filter(|m| m.call.is_none()) else {
+                continue;
+            };
+            if except == Some(name.as_str()) || !m.up() || m.deleting {
+                continue;
+            }
+            if now < m.call_after || self.calls.len() >= self.policy.calls_open {
+                self.wake_later.insert(name);
                 continue;
             }
-            let (Some(addr), false) = (&m.addr, m.deleting) else { continue };
             let mut commands = Vec::new();
-            if !m.unsettled && m.up() {
-                for ((task, attempt), run) in &mut m.runs {
-                    if run.phase == Phase::Assigned && !run.launch_sent {
-                        commands.push(Command::Launch { task: *task, attempt: *attempt });
-                        run.launch_sent = true;
-                    }
-                    if run.live() {
-                        push_stop(run, now, false, &mut commands);
-                    }
+            let mut stops = false;
+            for ((task, attempt), run) in &mut m.runs {
+                if run.phase == Phase::Assigned && run.sends == 0 {
+                    commands.push(Command::Launch { task: *task, attempt: *attempt });
+                    run.sent(now);
+                }
+                if run.live() {
+                    push_stop(run, now, false, &mut commands);
+                    stops |= run.stop.is_some();
                 }
             }
-            let probe = m.unsettled || m.silent_for(now, probe_ms);
-            if commands.is_empty() && !probe {
+            if stops {
+                self.wake_later.insert(name.clone());
+            }
+            if !commands.is_empty() {
+                self.call(&name, commands);
+            }
+        }
+    }
+
+    /// Asks machines that are silent, or that have not yet shown our token. Paced: a new leader has
+    /// a whole fleet to ask.
+    pub(super) fn probe(&mut self, now: Millis) {
+        let probe_ms = self.policy.probe_ms();
+        let mut due: Vec<(Millis, String)> = Vec::new();
+        for m in self.machines.values() {
+            if m.call.is_some() || m.deleting || m.addr.is_none() || now < m.call_after {
                 continue;
             }
-            self.next_call += 1;
-            m.call = Some(self.next_call);
-            self.out.push(Effect::Call {
-                machine: m.name.clone(),
-                addr: addr.clone(),
-                session: m.newest.0.max(1),
-                call: self.next_call,
-                commands,
-            });
+            let asks = match m.silence(now) {
+                Some(s) if m.up() => s >= probe_ms,
+                Some(_) => true,
+                None => false,
+            };
+            if asks {
+                due.push((m.call_after, m.name.to_string()));
+            }
+        }
+        // Those asked longest ago first.
+        due.sort();
+        for (_, name) in due {
+            if self.probes_open >= PROBES_OPEN || self.calls.len() >= self.policy.calls_open {
+                return;
+            }
+            self.call(&name, Vec::new());
         }
     }
 
+    fn call(&mut self, machine: &str, commands: Vec<Command>) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        let Some(addr) = m.addr.clone() else { return };
+        self.next_call += 1;
+        m.call = Some(self.next_call);
+        let probing = commands.is_empty();
+        self.calls.insert(self.next_call, probing);
+        self.probes_open += usize::from(probing);
+        self.out.push(Effect::Call {
+            machine: machine.to_string(),
+            addr,
+            session: m.newest.0.max(1),
+            call: self.next_call,
+            commands,
+        });
+    }
+
     pub(super) fn on_called(
         &mut self,
         now: Millis,
@@ -273,13 +332,19 @@
         call: u64,
         outcome: CallOutcome,
     ) {
+        // Over for the count, be it that the machine is gone meanwhile.
+        if self.calls.remove(&call) == Some(true) {
+            self.probes_open -= 1;
+        }
         let Some(m) = self.machines.get_mut(machine) else { return };
         if m.call != Some(call) {
             return;
         }
         m.call = None;
+        self.wake.insert(machine.to_string());
         match outcome {
             CallOutcome::Done(r) => {
+                m.unanswered = 0;
                 if r.machine == machine {
                     self.apply(now, &r);
                 }
@@ -290,14 +355,19 @@
                     return;
                 }
                 // Not executed: the launches in it go again with the next answer.
+                m.unanswered = 0;
                 let known = m.newest.0;
                 m.call_after = if r.session > known { now } else { now + 1_000 };
                 if r.machine == machine {
                     self.apply(now, &r);
                 }
             }
-            CallOutcome::NotSent => m.call_after = now + 500,
+            CallOutcome::NotSent => {
+                m.unanswered += 1;
+                m.call_after = now + 500;
+            }
             CallOutcome::Lost => {
+                m.unanswered += 1;
                 m.call_after = now + 1_000;
                 for run in m.runs.values_mut() {
                     // Which launches were in it is not kept: each one not yet seen, or ended,
@@ -317,8 +387,8 @@
     let mut stop = Some(Stop { grace_s: 0.0, sent_at: None });
     if let Some(job) = job {
         if !job.done.get(t.task.index) && !job.placed.contains_key(&t.task.index) {
-            let place = Place { machine: machine.to_string(), attempt: t.attempt };
-            job.placed.insert(t.task.index, place);
+            let place = Place { machine: machine.into(), attempt: t.attempt };
+            job.place(t.task.index, place);
             stop = None;
         }
     }
@@ -328,19 +398,22 @@
         spec,
         phase: Phase::Assigned,
         stop,
-        launch_sent: true,
+        sends: 1,
+        first_sent: 0,
         lost_call: false,
         running_since: None,
     }
 }
 
-/// Stops the runs of a closed job; what was never sent simply goes.
-pub(super) fn stop_runs_of(m: &mut Machine, id: JobId) {
-    m.runs
-        .retain(|(task, _), run| task.job != id || run.phase != Phase::Assigned || run.launch_sent);
+/// Stops the runs of a closed job; what was never sent simply goes. True if there is one to stop.
+pub(super) fn stop_runs_of(m: &mut Machine, id: JobId) -> bool {
+    m.runs.retain(|(task, _), run| task.job != id || run.phase != Phase::Assigned || run.sends > 0);
+    let mut any = false;
     for run in m.runs.values_mut().filter(|r| r.task.job == id && r.live()) {
         run.stop = Some(Stop { grace_s: 0.0, sent_at: None });
+        any = true;
     }
+    any
 }
 
 /// Adds the stop of a run, if there is one to send now.
--- a/crates/latchtrack-core/src/leader/saving.rs
+++ b/crates/latchtrack-core/src/leader/saving.rs
@@ -2,125 +2,117 @@
 
 use super::*;
 
+/// Bytes of a stored value that some bytes of results take.
+pub(super) fn results_bytes(bits: usize) -> usize {
+    bits.div_ceil(3) * 4 + ENTRY_BYTES
+}
+
+/// A machine as it is stored.
+pub(super) fn stored_of(m: &Machine) -> StoredMachine {
+    StoredMachine {
+        name: m.name.to_string(),
+        kind: m.kind.to_string(),
+        zone: m.zone.to_string(),
+        spot: m.spot,
+        addr: m.addr.clone().unwrap_or_default(),
+    }
+}
+
+impl StoredMachine {
+    /// Bytes of a stored value that it takes.
+    pub fn bytes(&self) -> usize {
+        let texts = [&self.name, &self.kind, &self.zone, &self.addr];
+        texts.iter().map(|t| t.len()).sum::<usize>() + ENTRY_BYTES
+    }
+}
+
 impl Cluster {
-    /// The next batch for the state service, of at most `most` changes.
-    pub fn next_writes(&mut self, most: usize) -> Vec<Write> {
+    /// The next batch for the state service, of at most `most` changes: first jobs that are done,
+    /// then machines that wait to be used, then results and machines that went.
+    pub fn next_writes(&mut self, now: Millis, most: usize) -> Vec<Write> {
         let mut out: Vec<Write> = Vec::new();
-        let mut left = most;
-        let mut taken = Vec::new();
-        for id in &self.finished {
-            let Some(job) = self.jobs.get(id).filter(|j| !j.conflict) else {
-                taken.push(*id);
-                continue;
-            };
-            let mut drop_chunks: Vec<u32> = (0..job.spec.tasks.div_ceil(CHUNK_TASKS))
-                .filter(|c| job.stored.chunk(*c).iter().any(|b| *b != 0))
-                .collect();
-            if 1 + drop_chunks.len() > most {
-                drop_chunks.clear();
+        while out.len() < most {
+            let Some(id) = self.finished.pop_first() else { break };
+            if let Some(job) = self.jobs.get(&id).filter(|j| !j.conflict) {
+                out.push(Write::Done { job: id, stamp: job.stamp, tasks: job.spec.tasks });
             }
-            let write =
-                Write::Done { job: *id, stamp: job.stamp, tasks: job.spec.tasks, drop_chunks };
-            if write.ops() > left {
-                break;
-            }
-            left -= write.ops();
-            taken.push(*id);
-            out.push(write);
-        }
-        for id in &taken {
-            self.finished.remove(id);
-            self.dirty_jobs.remove(id);
         }
-        while left > 0 {
-            let Some(name) = self.dirty_machines.pop_first() else { break };
-            if let Some(m) = self.machines.get_mut(&name) {
-                m.storing = true;
-                out.push(Write::Machine(StoredMachine {
-                    name,
-                    kind: m.kind.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    addr: m.addr.clone().unwrap_or_default(),
-                }));
-                left -= 1;
-            }
+        while out.len() < most {
+            let Some(pack) = self.fleet.next(now) else { break };
+            let machines = pack.entries.iter().filter_map(|n| self.machines.get(n));
+            let machines = machines.map(stored_of).collect();
+            out.push(Write::Fleet { pack, machines });
         }
-        while left > 0 {
-            let Some(id) = self.dirty_jobs.first().copied() else { break };
-            let next = self.jobs.get_mut(&id).and_then(|job| {
-                // A job about to be called done needs no more chunks.
-                let chunk = if job.done.full() { None } else { job.dirty.pop_first() }?;
-                Some(Write::Progress { job: id, chunk, bytes: job.done.chunk(chunk).to_vec() })
+        while out.len() < most {
+            let Some(pack) = self.results.next(now) else { break };
+            let chunks = pack.entries.iter().filter_map(|(id, chunk)| {
+                let job = self.jobs.get(id)?;
+                Some((*id, *chunk, job.done.chunk(*chunk).to_vec()))
             });
-            match next {
-                Some(write) => {
-                    out.push(write);
-                    left -= 1;
-                }
-                None => {
-                    self.dirty_jobs.remove(&id);
-                }
-            }
-        }
-        while left > 0 {
-            let Some(name) = self.dropped_machines.pop_first() else { break };
-            out.push(Write::DropMachine(name));
-            left -= 1;
+            let chunks = chunks.collect();
+            out.push(Write::Results { pack, chunks });
         }
         out
     }
 
-    pub(super) fn on_saved(&mut self, writes: Vec<Write>, outcome: SaveOutcome) {
-        if let SaveOutcome::Conflict(jobs) = &outcome {
+    /// A job is closed: what is stored of its results is of no use any more.
+    pub(super) fn forget_results(&mut self, id: JobId) {
+        for chunk in 0..TASKS_MOST.div_ceil(CHUNK_TASKS) {
+            self.results.remove(&(id, chunk));
+        }
+    }
+
+    pub(super) fn on_saved(&mut self, now: Millis, writes: Vec<Write>, outcome: SaveOutcome) {
+        let (mut late_fleet, mut late_results) = (Vec::new(), Vec::new());
+        if let SaveOutcome::Conflict { jobs, fleet, results } = &outcome {
             for id in jobs {
                 // The mirror will say who closed it.
                 if let Some(job) = self.jobs.get_mut(id) {
                     job.conflict = true;
                 }
             }
+            (late_fleet, late_results) = (fleet.clone(), results.clone());
         }
-        let ok = outcome == SaveOutcome::Ok;
+        let ok = matches!(outcome, SaveOutcome::Ok(_));
+        // An earlier write of a value that came late leaves its stamp in doubt, as one without an
+        // answer does.
+        let wrote = |late: &[String], name: &String| match outcome {
+            SaveOutcome::Ok(stamp) => Wrote::Yes(stamp),
+            SaveOutcome::Unknown => Wrote::Unknown,
+            _ if late.contains(name) => Wrote::Unknown,
+            _ => Wrote::No,
+        };
         for write in writes {
             match write {
-                Write::Machine(s) => match self.machines.get_mut(&s.name) {
-                    Some(m) => {
-                        m.storing = false;
-                        m.stored = ok;
-                        if !ok {
-                            self.dirty_machines.insert(s.name);
+                Write::Fleet { pack, machines } => {
+                    self.fleet.wrote(&pack, wrote(&late_fleet, &pack.name));
+                    for s in machines.iter().filter(|_| ok) {
+                        let Some(m) = self.machines.get_mut(&s.name) else { continue };
+                        if !m.stored {
+                            m.stored = true;
+                            self.fill(now, &s.name);
                         }
-                        self.replan = true;
-                    }
-                    // Went away meanwhile, and may have been stored all the same.
-                    None => {
-                        self.dropped_machines.insert(s.name);
-                    }
-                },
-                Write::DropMachine(name) => {
-                    if !ok {
-                        self.dropped_machines.insert(name);
                     }
+                    self.replan |= ok;
                 }
-                Write::Progress { job: id, chunk, bytes } => {
-                    if let Some(job) = self.jobs.get_mut(&id) {
-                        if ok {
-                            job.stored.merge_chunk(chunk, &bytes);
-                        } else {
-                            job.dirty.insert(chunk);
-                            self.dirty_jobs.insert(id);
+                Write::Results { pack, chunks } => {
+                    self.results.wrote(&pack, wrote(&late_results, &pack.name));
+                    for (id, chunk, bytes) in chunks.iter().filter(|_| ok) {
+                        if let Some(job) = self.jobs.get_mut(id) {
+                            job.stored.merge_chunk(*chunk, bytes);
                         }
                     }
                 }
                 Write::Done { job: id, .. } => {
                     if ok {
                         self.jobs.remove(&id);
-                        self.dirty_jobs.remove(&id);
+                        self.forget_results(id);
                     } else if self.jobs.get(&id).is_some_and(|j| !j.conflict) {
                         self.finished.insert(id);
                     }
                 }
             }
         }
+        self.flush(now, None);
     }
 }
--- a/crates/latchtrack-core/src/lib.rs
+++ b/crates/latchtrack-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod job;
 pub mod leader;
 pub mod machine;
+pub mod packs;
 pub mod placement;
 pub mod rules;
 
--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -109,8 +109,9 @@
     pub spec: Option<Arc<JobSpec>>,
     pub phase: Phase,
     pub stop: Option<Stop>,
-    /// A launch has left for the machine.
-    pub launch_sent: bool,
+    /// How often its launch has left for the machine, and when first.
+    pub sends: u32,
+    pub first_sent: Millis,
     /// A direct command with its launch was never answered: it may still execute while the
     /// session and our token stand, so the attempt must never be forgotten in this session.
     pub lost_call: bool,
@@ -119,6 +120,14 @@
 }
 
 impl Run {
+    /// Its launch leaves for the machine.
+    pub fn sent(&mut self, now: Millis) {
+        if self.sends == 0 {
+            self.first_sent = now;
+        }
+        self.sends = self.sends.saturating_add(1);
+    }
+
     /// Still takes room.
     pub fn live(&self) -> bool {
         !matches!(self.phase, Phase::Ended(_))
@@ -128,22 +137,26 @@
 /// A rented machine.
 #[derive(Clone, Debug)]
 pub struct Machine {
-    pub name: String,
-    pub kind: String,
-    pub zone: String,
+    pub name: Arc<str>,
+    pub kind: Arc<str>,
+    pub zone: Arc<str>,
     pub spot: bool,
     pub addr: Option<String>,
     pub rented_at: Millis,
     /// In the stored set; nothing is launched before.
     pub stored: bool,
-    pub storing: bool,
-    /// From an earlier leader, and not yet seen to hold our token: an earlier leader's commands
-    /// may still arrive, so tasks may be on it that we do not know of.
-    pub unsettled: bool,
+    /// In the stored set when this term began: until it is seen to hold our token, an earlier
+    /// leader's commands may still arrive, so tasks may be on it that we do not know of.
+    pub inherited: bool,
     /// Session and number of the newest message.
     pub newest: (u64, u64),
-    /// When we last heard it; None: not up yet.
+    /// When it was last heard holding our token; None: not yet. What it says with an older one
+    /// proves nothing: that may be a late copy from before this term, even of a machine long gone.
     pub heard: Option<Millis>,
+    /// Since when it should be answering us: its first sign in this term, or the take-over.
+    pub expected_since: Option<Millis>,
+    /// Direct calls in a row that it did not answer since it was last heard.
+    pub unanswered: u32,
     /// When the cloud takes it, by its own notice.
     pub notice_at: Option<Millis>,
     pub runs: BTreeMap<(TaskId, u64), Run>,
@@ -162,15 +175,25 @@
     pub failed_jobs: BTreeSet<JobId>,
     pub probation_until: Millis,
     /// Images that it has fetched in this session.
-    pub images: BTreeSet<String>,
+    pub images: Arc<BTreeSet<String>>,
 }
 
 impl Machine {
-    /// Whether its worker has been heard.
+    /// Whether its worker has been heard in this term.
     pub fn up(&self) -> bool {
         self.heard.is_some()
     }
 
+    /// Whether tasks may be on it that this term knows nothing of.
+    pub fn unsettled(&self) -> bool {
+        self.inherited && self.heard.is_none()
+    }
+
+    /// For how long it has been silent, if it should speak.
+    pub fn silence(&self, now: Millis) -> Option<Millis> {
+        self.heard.or(self.expected_since).map(|since| now.saturating_sub(since))
+    }
+
     /// Whether it was up and has not been heard for so many ms.
     pub fn silent_for(&self, now: Millis, ms: Millis) -> bool {
         self.heard.is_some_and(|heard| now >= heard + ms)
--- a/crates/latchtrack-core/src/placement.rs
+++ b/crates/latchtrack-core/src/placement.rs
@@ -1,7 +1,8 @@
 //! Where tasks go: the greedy best-fit-decreasing placer of the paper's Algorithm 3, the order of
 //! its Algorithm 1, and the choice of what to rent.
 
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
+use std::sync::Arc;
 
 use crate::constants::*;
 use crate::job::{Demand, JobSpec};
@@ -26,16 +27,19 @@
 #[derive(Clone, Debug)]
 pub struct Room {
     /// None for a machine that is still being rented.
-    pub machine: Option<String>,
-    pub kind: String,
-    pub zone: String,
+    pub machine: Option<Arc<str>>,
+    pub kind: Arc<str>,
+    pub zone: Arc<str>,
     pub spot: bool,
+    /// CPUs of the whole machine.
+    pub size: f64,
+    /// Images that it holds.
+    pub images: Arc<BTreeSet<String>>,
     pub free: Demand,
     /// Up and able to take launches now; otherwise promised.
     pub ready: bool,
-    /// Kept for a job that has waited too long.
-    pub held: bool,
-    pub score: f64,
+    /// Kept for jobs of this shape that have waited too long.
+    pub held: Option<usize>,
 }
 
 impl Room {
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -39,6 +39,8 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A call of the cloud, which answers in about 0.1 s; a lost packet is sent again within 1 s.
 pub const CLOUD_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// Direct calls of workers open at once, whatever the sockets: each holds buffers.
+pub const CALLS_MOST: usize = 256;
 /// A direct call of a worker.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Calls of the state service open at once.
--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -288,6 +288,8 @@
             report_ms: ms(self.platform.params.workers.report_s),
             settle_ms: ms(t.settle_s),
             lease_ms: ms(self.platform.params.workers.lease_s),
+            calls_open: self.calls_open(),
+            value_bytes: (self.platform.params.state.value_kb * 1024.0) as usize,
             aims: self.platform.params.objectives.iter().filter_map(Objective::aim).collect(),
             teams: self
                 .platform
@@ -312,6 +314,12 @@
         self.tuning.silence_s.unwrap_or_else(derived)
     }
 
+    /// Direct calls open at once: half of the sockets that users and workers leave us.
+    fn calls_open(&self) -> usize {
+        let ours = self.platform.params.limits.max_sockets as f64 * (1.0 - c::SOCKETS_USED);
+        ((ours / 2.0) as usize).clamp(1, c::CALLS_MOST)
+    }
+
     pub fn leader_ttl_ms(&self) -> u64 {
         (self.tuning.leader_lease_s * 1000.0) as u64
     }
