Jobs accepted while nobody led need not wait for the fleet; absent machines go at once

The stamp of its going, seen in the watch, tells which could not have been launched; after a full read it counts only if the key was missing in it. A machine of the stored set that does not answer and is not in the cloud's list is deleted at once.

--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -112,9 +112,13 @@
         let names: HashSet<&str> = listed.iter().map(|l| l.name.as_str()).collect();
         let probe_ms = self.policy.probe_ms();
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
-            let silent = m.silent_for(now, probe_ms);
-            let old = now >= m.rented_at + LIST_SURE_MS;
-            if silent && old && !names.contains(&*m.name) {
+            // A machine of the stored set was up before this term; one that does not answer a new
+            // leader either is not younger than lists are late but for a moment's bad luck.
+            let silent = match m.unsettled() {
+                true => m.unanswered > 0,
+                false => m.silent_for(now, probe_ms) && now >= m.rented_at + LIST_SURE_MS,
+            };
+            if silent && !names.contains(&*m.name) {
                 m.leaving = true;
                 self.out.push(Effect::Note(format!("machine {} taken back", m.name)));
             }
@@ -123,7 +127,11 @@
 
     fn watch_list(&mut self, now: Millis) {
         let probe_ms = self.policy.probe_ms();
-        let silent = self.machines.values().any(|m| !m.leaving && m.silent_for(now, probe_ms));
+        let gone = |m: &Machine| match m.unsettled() {
+            true => m.unanswered > 0,
+            false => m.silent_for(now, probe_ms),
+        };
+        let silent = self.machines.values().any(|m| !m.leaving && gone(m));
         let every = if silent { LIST_SILENT_MS } else { LIST_MS };
         if self.listed_at.is_none_or(|t| now >= t + every) {
             self.listed_at = Some(now);
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -114,6 +114,15 @@
     pub addr: String,
 }
 
+/// The stamps of the state service that a term begins with.
+#[derive(Clone, Copy, Debug)]
+pub struct Stamps {
+    /// Of the leader key: the token.
+    pub token: u64,
+    /// From this one up to the token nobody led: what was accepted meanwhile was never launched.
+    pub vacant: u64,
+}
+
 /// A stored value of the machine set, with its stamp.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoredFleet {
@@ -280,6 +289,7 @@
 pub struct Cluster {
     policy: Policy,
     token: u64,
+    vacant: u64,
     types: Vec<MachineType>,
     jobs: BTreeMap<JobId, Job>,
     machines: BTreeMap<String, Machine>,
@@ -319,12 +329,13 @@
     /// of jobs that are open.
     pub fn new(
         policy: Policy,
-        token: u64,
+        stamps: Stamps,
         types: Vec<MachineType>,
         inherited: Vec<StoredFleet>,
         results: Vec<StoredResults>,
         now: Millis,
     ) -> Self {
+        let Stamps { token, vacant } = stamps;
         let most = (policy.value_bytes as f64 * VALUE_FILLED) as usize;
         let mut fleet = Packs::new(token, most, FLEET_GAP_MS);
         let mut machines = BTreeMap::new();
@@ -357,6 +368,7 @@
         Cluster {
             policy,
             token,
+            vacant,
             types,
             jobs: BTreeMap::new(),
             machines,
@@ -496,7 +508,7 @@
         let done = done.unwrap_or_else(|| Bitmap::new(spec.tasks));
         let finished = done.full();
         // The record's stamp is that of its creation while the job is open.
-        let inherited = stamp < self.token;
+        let inherited = stamp < self.vacant;
         let shape = self.shapes.of(&spec);
         let mut job = Job::new(spec, submitted_at, stamp, inherited, done);
         job.shape = shape;
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -8,6 +8,7 @@
 use latchtrack_core::placement::Weights;
 
 const LEASE: u64 = 24_000;
+const STAMPS: Stamps = Stamps { token: 7, vacant: 7 };
 
 fn policy() -> Policy {
     Policy {
@@ -119,7 +120,7 @@
 
 /// A leader with `n` settled machines, each running one task of a job, all heard at 1,000 ms.
 fn fleet(n: u64) -> Cluster {
-    let mut c = Cluster::new(policy(), 7, types(), stored(0..n), Vec::new(), 1_000);
+    let mut c = Cluster::new(policy(), STAMPS, types(), stored(0..n), Vec::new(), 1_000);
     let job = Event::Job { spec: spec(1, n as u32), submitted_at: 0, stamp: 3, done: None };
     c.handle(1_000, job);
     for i in 0..n {
@@ -189,7 +190,7 @@
 /// after which it may delete them, and the next began to wait again.
 #[test]
 fn a_leader_that_never_heard_a_machine_does_not_resign_but_deletes_them() {
-    let mut c = Cluster::new(policy(), 7, types(), stored(0..4), Vec::new(), 1_000);
+    let mut c = Cluster::new(policy(), STAMPS, types(), stored(0..4), Vec::new(), 1_000);
     let mut gone = Vec::new();
     for step in 1..300 {
         let effects = c.handle(1_000 + step * 200, Event::Tick);
@@ -201,7 +202,7 @@
 
 #[test]
 fn an_inherited_job_waits_until_every_machine_carries_the_token() {
-    let mut c = Cluster::new(policy(), 7, types(), stored(0..2), Vec::new(), 1_000);
+    let mut c = Cluster::new(policy(), STAMPS, types(), stored(0..2), Vec::new(), 1_000);
     let job = |id, stamp| Event::Job { spec: spec(id, 2), submitted_at: 0, stamp, done: None };
     c.handle(1_000, job(1, 3));
     let mut n = launches(&c.handle(1_100, Event::Report(report(0, 1, 7, Vec::new()))));
@@ -219,7 +220,7 @@
 
 #[test]
 fn a_result_is_forgotten_only_after_it_is_stored() {
-    let mut c = Cluster::new(policy(), 7, types(), stored(0..1), Vec::new(), 1_000);
+    let mut c = Cluster::new(policy(), STAMPS, types(), stored(0..1), Vec::new(), 1_000);
     // As many as are forgotten without another command to go with.
     let demand = Demand { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 };
     let spec = Arc::new(JobSpec { demand, ..(*spec(1, 8)).clone() });
@@ -253,7 +254,7 @@
 
 #[test]
 fn many_large_jobs_take_bounded_memory_and_short_rounds() {
-    let mut c = Cluster::new(policy(), 7, types(), stored(0..30), Vec::new(), 1_000);
+    let mut c = Cluster::new(policy(), STAMPS, types(), stored(0..30), Vec::new(), 1_000);
     for i in 0..30 {
         c.handle(1_000, Event::Report(report(i, 1, 7, Vec::new())));
     }
@@ -336,7 +337,7 @@
 /// Seen on real processes: a job that may not use spot machines waited as if one might come free.
 #[test]
 fn a_job_without_spot_machines_rents_at_once() {
-    let mut c = Cluster::new(policy(), 7, types(), Vec::new(), Vec::new(), 1_000);
+    let mut c = Cluster::new(policy(), STAMPS, types(), Vec::new(), Vec::new(), 1_000);
     let ordinary = Arc::new(JobSpec { spot: false, ..(*spec(1, 2)).clone() });
     let job = Event::Job { spec: ordinary, submitted_at: 0, stamp: 8, done: None };
     c.handle(1_000, job);
@@ -352,7 +353,7 @@
     for ms in [30_000, 100_000] {
         policy.aims.push(Aim { class: "c".into(), due: Due::Within(ms) });
     }
-    let mut c = Cluster::new(policy, 7, types(), stored(0..1), Vec::new(), 1_000);
+    let mut c = Cluster::new(policy, STAMPS, types(), stored(0..1), Vec::new(), 1_000);
     // Nobody is placed before the machine has spoken; 8 tasks of 20 s need 80 s of its 8 CPUs.
     for (id, tasks) in [(1, 8), (2, 1)] {
         let spec = spec(id, tasks);
@@ -367,7 +368,7 @@
 /// user submitted it, so that after a take-over the oldest looked as good as new.
 #[test]
 fn deadlines_count_from_the_submission_whoever_leads() {
-    let mut c = Cluster::new(policy(), 7, types(), stored(0..1), Vec::new(), 100_000);
+    let mut c = Cluster::new(policy(), STAMPS, types(), stored(0..1), Vec::new(), 100_000);
     let due = |id, deadline_s, submitted_at| {
         let spec = JobSpec { deadline_s: Some(deadline_s), ..(*spec(id, 2)).clone() };
         Event::Job { spec: Arc::new(spec), submitted_at, stamp: 8, done: None }
--- a/crates/latchtrack-core/tests/world/mod.rs
+++ b/crates/latchtrack-core/tests/world/mod.rs
@@ -195,6 +195,8 @@
     // State service.
     epoch: u64,
     leader: Option<(usize, u64, u64)>,
+    /// The stamp with which the leader key last went.
+    vacant: u64,
     jobs: BTreeMap<JobId, Stored>,
     results: BTreeMap<String, StoredResults>,
     fleet: BTreeMap<String, StoredFleet>,
@@ -258,6 +260,7 @@
             queue: BTreeMap::new(),
             epoch: 10,
             leader: None,
+            vacant: 0,
             jobs: BTreeMap::new(),
             results: BTreeMap::new(),
             fleet: BTreeMap::new(),
@@ -527,6 +530,7 @@
         } else if self.leader.is_some_and(|(_, _, until)| until < self.now) {
             self.leader = None;
             self.epoch += 1;
+            self.vacant = self.epoch;
         }
     }
 
@@ -910,6 +914,7 @@
             teams: vec![team("free", 0.0), team("limited", limit)],
             aims: vec![Aim { class: "c".into(), due: Due::Within(30_000) }],
         };
+        let stamps = Stamps { token, vacant: self.vacant };
         let inherited = match self.broken {
             Broken::NoSettling => Vec::new(),
             _ => self.fleet.values().cloned().collect(),
@@ -920,7 +925,7 @@
             r.chunks.retain(|(id, ..)| open(id));
         }
         let node = &mut self.nodes[n];
-        node.cluster = Some(Cluster::new(policy, token, types(), inherited, results, now));
+        node.cluster = Some(Cluster::new(policy, stamps, types(), inherited, results, now));
         node.token = token;
         node.valid_until = now + TTL - GUARD;
         node.seen_stamp = 0;
@@ -1018,6 +1023,8 @@
                 Effect::Resign(_) => {
                     if self.leader.map(|l| l.1) == Some(token) {
                         self.leader = None;
+                        self.epoch += 1;
+                        self.vacant = self.epoch;
                     }
                 }
                 Effect::Note(_) => {}
--- a/crates/latchtrack/src/actors/job_cache.rs
+++ b/crates/latchtrack/src/actors/job_cache.rs
@@ -61,9 +61,16 @@
 /// An open job: its description, time of submission (wall ms) and stamp.
 pub type OpenJob = (Arc<JobSpec>, u64, u64);
 
+/// What a new leader starts from.
+pub struct Inheritance {
+    pub jobs: Vec<OpenJob>,
+    /// The stamp with which the last leader's key went, if that was seen: nobody led after it.
+    pub vacant: Option<u64>,
+}
+
 /// All open jobs, after a look at the state service.
 #[derive(Message)]
-#[rtype(result = "Result<Vec<OpenJob>, Stale>")]
+#[rtype(result = "Result<Inheritance, Stale>")]
 pub struct OpenJobs;
 
 /// Whether the mirror has been read.
@@ -102,6 +109,7 @@
     counts: HashMap<JobId, (u32, u32)>,
     leader: Option<LeaderRecord>,
     leader_stamp: u64,
+    vacant: Option<u64>,
     revision: Option<u64>,
     leading: bool,
     looking: bool,
@@ -128,6 +136,7 @@
             counts: HashMap::new(),
             leader: None,
             leader_stamp: 0,
+            vacant: None,
             revision: None,
             leading: false,
             looking: false,
@@ -227,6 +236,8 @@
                     led |= key == LEADER;
                     self.put(&key, &value, stamp, &mut changes);
                 }
+                // Who led in what was missed is not known; nobody does now, if there is no key.
+                self.vacant = (!led).then_some(revision);
                 if !led && self.leader_stamp < revision {
                     self.leader = None;
                     self.leader_stamp = revision;
@@ -240,6 +251,7 @@
                         None if key == LEADER && stamp > self.leader_stamp => {
                             self.leader = None;
                             self.leader_stamp = stamp;
+                            self.vacant = Some(stamp);
                         }
                         None => {}
                     }
@@ -418,7 +430,7 @@
 }
 
 impl Handler<OpenJobs> for JobCache {
-    type Result = ResponseActFuture<Self, Result<Vec<OpenJob>, Stale>>;
+    type Result = ResponseActFuture<Self, Result<Inheritance, Stale>>;
 
     fn handle(&mut self, _: OpenJobs, ctx: &mut Self::Context) -> Self::Result {
         let Some(rx) = self.fresh(ctx) else { return Box::pin(fut::ready(Err(Stale))) };
@@ -426,14 +438,11 @@
             if !ok.unwrap_or(false) {
                 return Err(Stale);
             }
-            Ok(act
-                .jobs
-                .values()
-                .filter_map(|e| match &e.record {
-                    Record::Open { spec, at_ms } => Some((spec.clone(), *at_ms, e.stamp)),
-                    _ => None,
-                })
-                .collect())
+            let open = act.jobs.values().filter_map(|e| match &e.record {
+                Record::Open { spec, at_ms } => Some((spec.clone(), *at_ms, e.stamp)),
+                _ => None,
+            });
+            Ok(Inheritance { jobs: open.collect(), vacant: act.vacant })
         }))
     }
 }
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -8,8 +8,8 @@
 use latchtrack_core::bitmap::Bitmap;
 use latchtrack_core::job::{JobId, JobSpec};
 use latchtrack_core::leader::{
-    CallOutcome, Cluster, Effect, Event, HireOutcome, Policy, SaveOutcome, StoredFleet,
-    StoredResults, Write,
+    CallOutcome, Cluster, Effect, Event, HireOutcome, Policy, SaveOutcome, Stamps,
+    StoredFleet, StoredResults, Write,
 };
 use latchtrack_core::machine::{Command, MachineType, Report};
 use serde_json::value::RawValue;
@@ -17,7 +17,7 @@
 use super::cloud::{Cloud, Errand};
 use super::election::{Deposed, Election, Resign};
 use super::intake::Types;
-use super::job_cache::{Counts, JobCache, Learn, OpenJob, OpenJobs};
+use super::job_cache::{Counts, Inheritance, JobCache, Learn, OpenJob, OpenJobs};
 use super::peers::{Peers, Tell};
 use super::store::{self, Ask, Class, Reply, Store, StoreError};
 use crate::clock::{self, now_ms};
@@ -85,6 +85,7 @@
 
 struct Picture {
     jobs: Vec<OpenJob>,
+    vacant: Option<u64>,
     fleet: Vec<StoredFleet>,
     results: Vec<StoredResults>,
 }
@@ -374,7 +375,10 @@
         }
         let (policy, types) = (self.policy.clone(), self.types.clone());
         let (fleet, kept) = (picture.fleet, picture.results);
-        self.cluster = Some(Cluster::new(policy, token, types, fleet, kept, now));
+        // The last time before this term that nobody led.
+        let vacant = picture.vacant.filter(|stamp| *stamp < token).unwrap_or(token);
+        let stamps = Stamps { token, vacant };
+        self.cluster = Some(Cluster::new(policy, stamps, types, fleet, kept, now));
         for (spec, at_ms, stamp) in picture.jobs {
             let mut done = None;
             for (chunk, bytes) in results.remove(&spec.id).unwrap_or_default() {
@@ -485,7 +489,7 @@
 async fn read_picture(store: &Addr<Store>, cache: &Addr<JobCache>) -> Option<Picture> {
     let (stored, _) = store::read_all(store, FLEET).await.ok()?;
     let (chunks, _) = store::read_all(store, RESULTS).await.ok()?;
-    let jobs = cache.send(OpenJobs).await.ok()?.ok()?;
+    let Inheritance { jobs, vacant } = cache.send(OpenJobs).await.ok()?.ok()?;
     let mut fleet = Vec::new();
     for item in stored {
         let Some(name) = item.key.strip_prefix(FLEET) else { continue };
@@ -506,7 +510,7 @@
         chunks.retain(|(id, ..)| open.contains(id));
         results.push(StoredResults { name: name.to_string(), stamp: item.version, chunks });
     }
-    Some(Picture { jobs, fleet, results })
+    Some(Picture { jobs, vacant, fleet, results })
 }
 
 impl Actor for Leader {
