--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -42,9 +42,9 @@
 /// ms a machine is asked directly, two calls of 2.5 s, before it is deleted and its tasks go
 /// elsewhere (default of `silence_s`, on top of when the asking begins).
 pub const ASKED_MS: Millis = 6_000;
-/// ms a new leader waits for the report of a machine of its predecessor before it deletes it: it
-/// asks all at once, a live one answers within 2 s, and all older jobs wait meanwhile.
-pub const SETTLE_MS: Millis = 6_000;
+/// ms a new leader waits for a machine of its predecessor before it deletes it, if two calls got no
+/// answer either: a live one answers the first within a second, and all older jobs wait meanwhile.
+pub const SETTLE_MS: Millis = 3_500;
 /// ms between two looks at the cloud's list: it shows orphans and failed machines.
 pub const LIST_MS: Millis = 20_000;
 /// The same while machines are silent: one that the list no longer has was taken back.
@@ -90,7 +90,7 @@
 pub const UNANSWERED: u32 = 2;
 /// Direct calls without commands open at once: a new leader asks a whole fleet, and has little of
 /// a processor.
-pub const PROBES_OPEN: usize = 48;
+pub const PROBES_OPEN: usize = 96;
 /// ms until a machine that has just spoken with an older token is asked directly: on hearing ours
 /// it speaks again within half a second by itself.
 pub const PROBE_NEW_MS: Millis = 2_000;
@@ -99,7 +99,7 @@
 pub const FORGET_LEAST: usize = 8;
 /// ms between two rounds of placing for the whole fleet; what a single report frees is filled at
 /// once.
-pub const ROUND_MS: Millis = 200;
+pub const ROUND_MS: Millis = 100;
 /// ms after which a round is made though nothing has changed: deadlines come closer.
 pub const ROUND_IDLE_MS: Millis = 1_000;
 /// ms between two writes of the same value of results: a machine keeps what is not stored yet.
--- a/crates/latchtrack/src/actors/cloud.rs
+++ b/crates/latchtrack/src/actors/cloud.rs
@@ -33,6 +33,11 @@
     List {
         token: u64,
     },
+    /// The next page of a list.
+    Page {
+        token: u64,
+        listed: Vec<Listed>,
+    },
     /// Types and prices, which every node needs.
     Types,
 }
@@ -138,12 +143,17 @@
                     act.tell(token, Event::Returned { names, ok }, wait, ctx);
                 }));
             }
-            Errand::List { token } => {
-                let work = async move { list(&client, &base).await };
-                ctx.spawn(work.into_actor(self).map(move |listed, act, ctx| {
-                    if let Some(listed) = listed {
-                        act.tell(token, Event::Listed(listed), 0, ctx);
+            Errand::List { token } => self.run(Errand::Page { token, listed: Vec::new() }, ctx),
+            Errand::Page { token, listed } => {
+                let work = async move { page(&client, &base, listed).await };
+                ctx.spawn(work.into_actor(self).map(move |answer, act, ctx| match answer {
+                    // Each page is a call that has its turn.
+                    Some((listed, true)) => {
+                        act.queue.push_front(Errand::Page { token, listed });
+                        act.pump(ctx);
                     }
+                    Some((listed, false)) => act.tell(token, Event::Listed(listed), 0, ctx),
+                    None => {}
                 }));
             }
         }
@@ -232,23 +242,23 @@
     matches!(finish(sent).await, Ok((status, _)) if status.as_u16() == 200)
 }
 
-async fn list(client: &awc::Client, base: &str) -> Option<Vec<Listed>> {
-    let mut out: Vec<Listed> = Vec::new();
-    loop {
-        let from = out.last().map(|l| format!("&from={}", l.name)).unwrap_or_default();
-        let url = format!("{base}/rentals?most={LIST_PAGE}{from}");
-        let sent = client.get(url).timeout(CLOUD_TIMEOUT).send();
-        let (status, body) = finish(sent).await.ok()?;
-        if status.as_u16() != 200 {
-            return None;
-        }
-        let page: ListAnswer = serde_json::from_slice(&body).ok()?;
-        let more = page.truncated.unwrap_or(false) && !page.machines.is_empty();
-        out.extend(page.machines.into_iter().map(Listed::from));
-        if !more {
-            return Some(out);
-        }
+/// One more page of the list; whether there are others.
+async fn page(
+    client: &awc::Client,
+    base: &str,
+    mut listed: Vec<Listed>,
+) -> Option<(Vec<Listed>, bool)> {
+    let from = listed.last().map(|l| format!("&from={}", l.name)).unwrap_or_default();
+    let url = format!("{base}/rentals?most={LIST_PAGE}{from}");
+    let sent = client.get(url).timeout(CLOUD_TIMEOUT).send();
+    let (status, body) = finish(sent).await.ok()?;
+    if status.as_u16() != 200 {
+        return None;
     }
+    let page: ListAnswer = serde_json::from_slice(&body).ok()?;
+    let more = page.truncated.unwrap_or(false) && !page.machines.is_empty();
+    listed.extend(page.machines.into_iter().map(Listed::from));
+    Some((listed, more))
 }
 
 impl Actor for Cloud {
@@ -293,7 +303,8 @@
             }
             // One list tells all who want one.
             Errand::List { token } => {
-                self.queue.retain(|e| !matches!(e, Errand::List { .. }));
+                let lists = |e: &Errand| matches!(e, Errand::List { .. } | Errand::Page { .. });
+                self.queue.retain(|e| !lists(e));
                 self.queue.push_back(Errand::List { token });
             }
             other => self.queue.push_back(other),
--- a/crates/latchtrack/src/actors/election.rs
+++ b/crates/latchtrack/src/actors/election.rs
@@ -48,6 +48,7 @@
     term: Option<Term>,
     busy: bool,
     not_before: u64,
+    started: u64,
 }
 
 enum Campaign {
@@ -78,6 +79,7 @@
             term: None,
             busy: false,
             not_before: 0,
+            started: now_ms(),
         }
     }
 
@@ -100,7 +102,10 @@
                     return;
                 }
                 self.busy = true;
-                let jitter = rand::rng().random_range(0..=CAMPAIGN_JITTER_MS);
+                let mut jitter = rand::rng().random_range(0..=CAMPAIGN_JITTER_MS);
+                if now_ms() >= self.started + YOUNG_MS {
+                    jitter += YOUNG_FIRST_MS;
+                }
                 ctx.run_later(Duration::from_millis(jitter), |act, ctx| act.campaign(ctx));
             }
             Some(Some((record, stamp))) if record.node == self.node => {
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -8,8 +8,8 @@
 use latchtrack_core::bitmap::Bitmap;
 use latchtrack_core::job::{JobId, JobSpec};
 use latchtrack_core::leader::{
-    CallOutcome, Cluster, Effect, Event, HireOutcome, Policy, SaveOutcome, Stamps,
-    StoredFleet, StoredResults, Write,
+    CallOutcome, Cluster, Effect, Event, HireOutcome, Policy, SaveOutcome, Stamps, StoredFleet,
+    StoredResults, Write,
 };
 use latchtrack_core::machine::{Command, MachineType, Report};
 use serde_json::value::RawValue;
--- a/crates/latchtrack/src/actors/store.rs
+++ b/crates/latchtrack/src/actors/store.rs
@@ -37,6 +37,9 @@
     Refused(String),
 }
 
+/// Over a limit of the state service.
+const OVER: StoreError = StoreError::NotExecuted("over the limit");
+
 /// Which requests go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -126,14 +129,14 @@
 }
 
 impl Bucket {
-    fn new(rate: f64) -> Self {
-        Bucket { rate, most: rate, have: rate, at: now_ms() }
+    fn new(rate: f64, most: f64) -> Self {
+        Bucket { rate, most, have: most, at: now_ms() }
     }
 
-    fn set_rate(&mut self, rate: f64) {
+    fn set(&mut self, rate: f64, most: f64) {
         self.rate = rate;
-        self.most = rate;
-        self.have = self.have.min(rate);
+        self.most = most;
+        self.have = self.have.min(most);
     }
 
     fn fill(&mut self) {
@@ -180,8 +183,8 @@
             rps,
             write_rps,
             nodes,
-            requests: Bucket::new(rps * share),
-            writes: Bucket::new(write_rps * share),
+            requests: Bucket::new(rps * share, rps * share),
+            writes: Bucket::new(write_rps * share, burst(write_rps, share)),
             queues: Default::default(),
             open: 0,
             waking: false,
@@ -255,6 +258,20 @@
         let call = self.call(&w.request.ask);
         ctx.spawn(call.into_actor(self).map(move |result, act, ctx| {
             act.open -= 1;
+            // Others burst too: it was surely not executed, and has its turn again if there is time.
+            let over = matches!(&result, Err(e) if *e == OVER);
+            if over && now_ms() + OVER_WAIT_MS < w.request.deadline {
+                if w.request.ask.writes() > 0.0 {
+                    act.writes.have = act.writes.have.min(0.0);
+                }
+                let class = w.request.class as usize;
+                ctx.run_later(Duration::from_millis(OVER_WAIT_MS), move |act, ctx| {
+                    act.queues[class].push_front(w);
+                    act.pump(ctx);
+                });
+                act.pump(ctx);
+                return;
+            }
             let _ = w.answer.send(result.map(|reply| Answered { reply, sent_at }));
             act.pump(ctx);
         }));
@@ -329,6 +346,12 @@
     }
 }
 
+/// Writes that may go at once after a pause: half a second's worth of what all may, since the
+/// service allows bursts of a second's worth and seldom do all nodes burst together.
+fn burst(write_rps: f64, share: f64) -> f64 {
+    write_rps * share.max(LIMIT_USED * BURST_PART)
+}
+
 async fn get(
     client: &awc::Client,
     url: &str,
@@ -360,7 +383,7 @@
         200..=299 => Ok(()),
         404 => Err(StoreError::NotFound),
         410 => Err(StoreError::TooOld),
-        429 => Err(StoreError::NotExecuted("over the limit")),
+        429 => Err(OVER),
         503 => Err(StoreError::NotExecuted("out of service")),
         400..=499 => {
             let text = String::from_utf8_lossy(&body[..body.len().min(200)]);
@@ -411,8 +434,8 @@
     fn handle(&mut self, msg: Share, _: &mut Self::Context) {
         // The leader has two shares of n + 1, each other node one.
         let share = LIMIT_USED / (self.nodes + 1.0) * if msg.leading { 2.0 } else { 1.0 };
-        self.requests.set_rate(self.rps * share);
-        self.writes.set_rate(self.write_rps * share);
+        self.requests.set(self.rps * share, self.rps * share);
+        self.writes.set(self.write_rps * share, burst(self.write_rps, share));
     }
 }
 
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 /// ms the leader's lease in the state service lasts. Long enough for a slow answer and two lost
-/// renewals, short enough that a crashed leader is followed within seconds.
-pub const LEADER_TTL_MS: u64 = 5_000;
+/// renewals, short enough that a crashed leader is followed within seconds: all that people wait
+/// for waits meanwhile.
+pub const LEADER_TTL_MS: u64 = 3_000;
 /// Part of the lease after which it is renewed.
 pub const RENEW_PART: u64 = 4;
 /// ms taken off the lease's local end: clock drift (0.05%) and the time of acting itself.
@@ -14,6 +15,10 @@
 pub const ELECTION_RETRY_MS: u64 = 300;
 /// ms of random wait before a campaign, so that nodes do not all write at once.
 pub const CAMPAIGN_JITTER_MS: u64 = 120;
+/// ms for which a node counts as newly started, and which the others leave it to campaign first: in
+/// a restart of all nodes one by one, those that have been up for long are the next to go.
+pub const YOUNG_MS: u64 = 90_000;
+pub const YOUNG_FIRST_MS: u64 = 300;
 /// ms a node that resigned leaves the office to others.
 pub const RESIGNED_MS: u64 = 20_000;
 
@@ -49,6 +54,10 @@
 pub const STORE_QUEUE: usize = 256;
 /// Part of the limits left unused: our clock and the service's may differ in what a second is.
 pub const LIMIT_USED: f64 = 0.9;
+/// Part of a second's writes of all nodes that one may make at once after a pause.
+pub const BURST_PART: f64 = 0.5;
+/// ms after which a request that was over a limit is sent again.
+pub const OVER_WAIT_MS: u64 = 100;
 /// Bytes of one transaction that we fill (the service takes 64 KiB).
 pub const TXN_BYTES: usize = 48 * 1024;
 /// Bytes of the largest answer that we read: a page is 512 KiB, a watch has no bound.
