--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -357,7 +357,7 @@
     fn refuses_by_name() {
         sample().check().unwrap();
         for (from, to, name) in [
-            ("\"cancel_s\":60.0", "\"cancel_s\":35.0", "leader_lease_s"),
+            ("\"cancel_s\":60.0", "\"cancel_s\":33.0", "leader_lease_s"),
             ("\"rps\":100.0", "\"rps\":0.0", "params.state.rps"),
             ("\"txn_ops\":8", "\"txn_ops\":0", "params.state.txn_ops"),
             ("\"max_sockets\":900", "\"max_sockets\":3", "params.machine_limits.max_sockets"),
