--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -65,17 +65,17 @@
 
     /// Silence after which the other nodes are told of a machine.
     pub fn overdue_ms(&self) -> Millis {
-        self.reports_within() + OVERDUE_MS
+        self.reports_within().saturating_add(OVERDUE_MS)
     }
 
     /// Silence after which a machine is asked directly.
     pub fn probe_ms(&self) -> Millis {
-        self.reports_within() + PROBE_MS
+        self.reports_within().saturating_add(PROBE_MS)
     }
 
     /// Silence after which a machine is given up, unless operators say otherwise.
     pub fn silence_default(report_ms: Millis) -> Millis {
-        (report_ms as f64 * REPORT_VARIES) as Millis + PROBE_MS + ASKED_MS
+        ((report_ms as f64 * REPORT_VARIES) as Millis).saturating_add(PROBE_MS + ASKED_MS)
     }
 }
 
--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -225,9 +225,16 @@
                 bad(name, format!("is {value}, must be at least {least}"))
             }
         };
-        above("params.workers.report_s", p.workers.report_s, 0.1)?;
-        above("params.workers.lease_s", p.workers.lease_s, 1.0)?;
-        above("params.workers.cancel_s", p.workers.cancel_s, 1.0)?;
+        for (name, value, least) in [
+            ("params.workers.report_s", p.workers.report_s, 0.1),
+            ("params.workers.lease_s", p.workers.lease_s, 1.0),
+            ("params.workers.cancel_s", p.workers.cancel_s, 1.0),
+        ] {
+            above(name, value, least)?;
+            if value > 86_400.0 {
+                return bad(name, format!("is {value}, must be at most a day"));
+            }
+        }
         above("params.state.rps", p.state.rps, 1.0)?;
         above("params.state.write_rps", p.state.write_rps, 1.0)?;
         above("params.state.value_kb", p.state.value_kb, 1.0)?;
