Tests of the users' checks: one-way machines, late copies, fast restarts, a fleet; begin in time

Each new guard is broken once from outside: copies believed, packed values without their stamp, vacancy assumed. What only the core can break has a scenario of its own.

A job that has not begun for two minutes gets one slice before all others, so that the largest of an overloaded class begins within four minutes however often it steps back.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -97,6 +97,9 @@
 /// Ended runs on a machine that are forgotten without another command to go with: each change of
 /// what a worker lists costs a report.
 pub const FORGET_LEAST: usize = 8;
+/// ms after which a job that has not begun gets one slice before all others: however large it is and
+/// however often it steps back, people are to see it begin, within four minutes at the latest.
+pub const BEGIN_MS: Millis = 120_000;
 /// ms between two rounds of placing for the whole fleet; what a single report frees is filled at
 /// once.
 pub const ROUND_MS: Millis = 100;
--- a/crates/latchtrack-core/src/job.rs
+++ b/crates/latchtrack-core/src/job.rs
@@ -173,6 +173,11 @@
         self.left
     }
 
+    /// Whether nothing of it has ever been placed in this term, and nothing is done.
+    pub fn untouched(&self) -> bool {
+        self.left == self.spec.tasks && self.again.is_empty()
+    }
+
     /// A task has a place now.
     pub fn place(&mut self, index: u32, place: Place) {
         if self.placed.insert(index, place).is_none() && !self.done.get(index) {
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -314,6 +314,8 @@
     shapes: Shapes,
     /// Jobs with waiting tasks, in the order of the last round, and machines whose room it holds.
     queue: Vec<JobId>,
+    /// Jobs that are to begin before that order.
+    begin: Vec<JobId>,
     held: HashMap<Arc<str>, usize>,
     /// Machines for which there may be something to send now, or at the next tick.
     wake: BTreeSet<String>,
@@ -390,6 +392,7 @@
             results: kept,
             shapes: Shapes::default(),
             queue: Vec::new(),
+            begin: Vec::new(),
             held: HashMap::new(),
             wake: BTreeSet::new(),
             wake_later: BTreeSet::new(),
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -140,6 +140,21 @@
         (used, unknown_runs)
     }
 
+    /// How many tasks of a job may go into this room, if that depends on nothing else.
+    fn fits_here(&self, now: Millis, job: &Job, machine: &str, room: &Room) -> u32 {
+        let spec = &job.spec;
+        if job.pause_until > now
+            || spec.one_zone
+            || spec.spread
+            || !placement::allowed(spec, &room.kind, &room.zone, room.spot)
+            || (!job.suspect() && job.failed_on.contains(machine))
+            || self.policy.teams.iter().any(|t| t.name == spec.team && has_limit(t))
+        {
+            return 0;
+        }
+        room.holds(&spec.demand)
+    }
+
     pub(super) fn plan(&mut self, now: Millis) {
         self.last_plan = Some(now);
         self.replan = false;
@@ -179,6 +194,19 @@
         for job in order.iter().filter_map(|(_, id)| self.jobs.get(id)) {
             round.shapes[job.shape].to_come += job.waiting();
         }
+        // The oldest first.
+        let mut begin: Vec<(Millis, JobId)> = order
+            .iter()
+            .filter_map(|(_, id)| Some((self.jobs.get(id)?.submitted_at, *id)))
+            .filter(|(at, id)| now >= at.saturating_add(BEGIN_MS) && self.jobs[id].untouched())
+            .collect();
+        begin.sort();
+        self.begin = begin.into_iter().map(|(_, id)| id).collect();
+        for id in self.begin.clone() {
+            let spec = self.jobs[&id].spec.clone();
+            let slice = self.slice_of(&spec).min(self.limit_left(&spec, &round));
+            self.fill_ready(id, &spec, slice, &mut round);
+        }
         for (_, id) in &order {
             self.place_job(now, *id, &mut round);
         }
@@ -192,6 +220,11 @@
         self.held = held.filter_map(|r| Some((r.machine?, r.held?))).collect();
     }
 
+    /// Tasks of a job that start together.
+    fn slice_of(&self, spec: &JobSpec) -> u32 {
+        self.policy.slice.max(1).min(spec.tasks)
+    }
+
     /// Fills what a machine's own report has freed, by the order of the last round: as that round
     /// would have done, had it come now. Jobs whose room depends on more than this machine wait for
     /// the next round.
@@ -205,6 +238,16 @@
         if !room.ready {
             return;
         }
+        for id in std::mem::take(&mut self.begin) {
+            let Some(job) = self.jobs.get(&id).filter(|j| j.untouched()) else { continue };
+            let (spec, slice) = (job.spec.clone(), self.slice_of(&job.spec));
+            if self.fits_here(now, job, machine, &room) < slice {
+                self.begin.push(id);
+                continue;
+            }
+            room.take(&spec.demand, slice);
+            self.assign(id, &spec, machine, slice);
+        }
         let mut placed = Vec::new();
         let mut empty = 0;
         // Held room is for the jobs of a shape and those before them.
@@ -219,22 +262,14 @@
             if reached && held != Some(job.shape) {
                 continue;
             }
-            let spec = &job.spec;
-            let n = room.holds(&spec.demand).min(job.waiting());
-            if n < self.policy.slice.max(1).min(job.waiting())
-                || job.pause_until > now
-                || spec.one_zone
-                || spec.spread
-                || !placement::allowed(spec, &room.kind, &room.zone, room.spot)
-                || (!job.suspect() && job.failed_on.contains(machine))
-                || self.policy.teams.iter().any(|t| t.name == spec.team && has_limit(t))
-            {
+            let slice = self.slice_of(&job.spec);
+            let fits = self.fits_here(now, job, machine, &room);
+            let n = if fits < job.waiting() { fits / slice * slice } else { job.waiting() };
+            if n == 0 {
                 continue;
             }
-            let slice = self.policy.slice.max(1);
-            let n = if n < job.waiting() { n / slice * slice } else { n };
-            room.take(&spec.demand, n);
-            placed.push((*id, spec.clone(), n));
+            room.take(&job.spec.demand, n);
+            placed.push((*id, job.spec.clone(), n));
             if room.free.cpus <= 0.0 {
                 break;
             }
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -379,3 +379,208 @@
     let placed = |id| c.jobs()[&JobId(id)].placed.len();
     assert_eq!((placed(1), placed(2)), (0, 2), "due at 159 s and at 110 s");
 }
+
+/// Ticks from one time to another, every direct call ending as `outcome` says 1 s later.
+fn ticks(c: &mut Cluster, from: u64, to: u64, outcome: &CallOutcome) -> Vec<Effect> {
+    let mut out = Vec::new();
+    let mut open: Vec<(u64, String, u64)> = Vec::new();
+    for now in (from..to).step_by(200) {
+        for (at, machine, call) in std::mem::take(&mut open) {
+            if at > now {
+                open.push((at, machine, call));
+                continue;
+            }
+            let outcome = outcome.clone();
+            out.extend(c.handle(now, Event::Called { machine, call, outcome }));
+        }
+        let effects = c.handle(now, Event::Tick);
+        for e in &effects {
+            if let Effect::Call { machine, call, .. } = e {
+                open.push((now + 1_000, machine.clone(), *call));
+            }
+        }
+        out.extend(effects);
+    }
+    for (_, machine, call) in open {
+        out.extend(c.handle(to, Event::Called { machine, call, outcome: outcome.clone() }));
+    }
+    out
+}
+
+/// Machines are kept however long they are empty.
+fn patient() -> Policy {
+    Policy { idle_wait_ms: 1_000_000, ..policy() }
+}
+
+/// Users' check: a machine's reports arrive, answers and commands don't reach it. Unsettled, it
+/// would hold up all inherited jobs for as long as it reports.
+#[test]
+fn a_machine_that_reports_with_an_old_token_for_ever_is_given_up() {
+    let mut c = Cluster::new(patient(), STAMPS, types(), stored(0..5), Vec::new(), 1_000);
+    for i in 1..5 {
+        c.handle(1_100, Event::Report(report(i, 1, 7, Vec::new())));
+    }
+    let mut gone = Vec::new();
+    for step in 0..10 {
+        let now = 1_200 + step * 3_000;
+        c.handle(now, Event::Report(report(0, 2 + step, 6, Vec::new())));
+        for i in 1..5 {
+            c.handle(now, Event::Report(report(i, 2 + step, 7, Vec::new())));
+        }
+        gone.extend(returned(&ticks(&mut c, now, now + 3_000, &CallOutcome::Lost)));
+    }
+    assert_eq!(gone[..1], [name(0)]);
+}
+
+/// Users' check, the same for a machine that was settled: it reports and never starts what it is
+/// given.
+#[test]
+fn a_machine_that_takes_no_launch_is_given_up_and_its_tasks_go_elsewhere() {
+    let mut c = Cluster::new(patient(), STAMPS, types(), stored(0..1), Vec::new(), 1_000);
+    c.handle(1_000, Event::Job { spec: spec(1, 2), submitted_at: 0, stamp: 8, done: None });
+    let mut given = 0;
+    let mut gone = Vec::new();
+    for step in 0..8 {
+        let now = 1_100 + step * 3_000;
+        let effects = c.handle(now, Event::Report(report(0, 1 + step, 7, Vec::new())));
+        given += launches(&effects);
+        gone.extend(returned(&ticks(&mut c, now, now + 3_000, &CallOutcome::Lost)));
+    }
+    assert!(given >= 4, "repeated with each answer: {given}");
+    assert_eq!(gone, [name(0)]);
+    c.handle(30_000, Event::Returned { names: gone, ok: true });
+    assert_eq!(c.jobs()[&JobId(1)].waiting(), 2);
+}
+
+/// Users' check: copies of reports come late, from before the term, of machines that an earlier
+/// leader has deleted. A copy brings back nothing, settles nothing and refreshes nothing.
+#[test]
+fn a_late_copy_proves_nothing() {
+    let mut c = Cluster::new(patient(), STAMPS, types(), stored(0..2), Vec::new(), 1_000);
+    c.handle(1_000, Event::Job { spec: spec(1, 4), submitted_at: 0, stamp: 8, done: None });
+    let known = c.machines().len();
+    // Of a machine unknown to us, and of one that has not yet spoken in this term.
+    let mut effects = c.handle(1_100, Event::Report(report(9, 40, 6, Vec::new())));
+    effects.extend(c.handle(1_200, Event::Report(report(1, 40, 6, Vec::new()))));
+    effects.extend(c.handle(1_400, Event::Tick));
+    assert_eq!((c.machines().len(), launches(&effects)), (known, 0));
+    assert_eq!(c.machines()[&name(1)].heard, None);
+    assert!(c.next_writes(1_500, 8).is_empty(), "nothing is stored for it");
+    // Settled; then a copy of an earlier report, from within the term, refreshes nothing.
+    c.handle(2_000, Event::Report(report(0, 50, 7, Vec::new())));
+    let effects = c.handle(9_000, Event::Report(report(0, 49, 7, Vec::new())));
+    assert_eq!((c.machines()[&name(0)].heard, launches(&effects)), (Some(2_000), 0));
+    // Deleted in this term: not brought back, whatever token the copy shows.
+    c.handle(9_100, Event::Returned { names: vec![name(0)], ok: true });
+    c.handle(80_000, Event::Report(report(0, 51, 7, Vec::new())));
+    assert!(!c.machines().contains_key(&name(0)));
+    // A rental carried out late shows our token half a second after it first hears it.
+    c.handle(80_100, Event::Report(report(9, 41, 7, Vec::new())));
+    assert!(c.machines().contains_key(&name(9)));
+}
+
+/// A node that is late itself hears late: without an unanswered question nothing is given up
+/// before its lease has run out.
+#[test]
+fn a_late_leader_does_not_take_its_lateness_for_death() {
+    let mut c = Cluster::new(patient(), STAMPS, types(), stored(0..4), Vec::new(), 1_000);
+    // Its calls are open, and none has come to an end.
+    for now in (1_200..1_000 + LEASE).step_by(200) {
+        let gone = returned(&c.handle(now, Event::Tick));
+        assert_eq!(gone, Vec::<String>::new(), "at {now}");
+    }
+}
+
+/// With the cloud down no delete is answered; past its lease a machine that nobody can have
+/// answered holds nothing any more, and the inherited jobs start.
+#[test]
+fn machines_that_outlast_their_lease_hold_up_nobody() {
+    let mut c = Cluster::new(patient(), STAMPS, types(), stored(0..2), Vec::new(), 1_000);
+    c.handle(1_000, Event::Job { spec: spec(1, 2), submitted_at: 0, stamp: 3, done: None });
+    for step in 0..9 {
+        let now = 1_100 + step * 3_000;
+        let effects = c.handle(now, Event::Report(report(0, 1 + step, 7, Vec::new())));
+        assert_eq!(launches(&effects), 0, "at {now}");
+        let effects = ticks(&mut c, now, now + 3_000, &CallOutcome::Lost);
+        assert_eq!(launches(&effects), 0, "at {now}");
+        for e in effects {
+            if let Effect::Return(names) = e {
+                c.handle(now + 3_000, Event::Returned { names, ok: false });
+            }
+        }
+    }
+    let mut n = 0;
+    for step in 9..12 {
+        let now = 1_100 + step * 3_000;
+        n += launches(&c.handle(now, Event::Report(report(0, 1 + step, 7, Vec::new()))));
+        n += launches(&ticks(&mut c, now, now + 3_000, &CallOutcome::Lost));
+    }
+    assert!(n >= 2, "started after the lease: {n}");
+}
+
+/// A value of the machine set that can't be read may hold any machine: what an earlier leader may
+/// have launched waits until every lease of then has run out.
+#[test]
+fn a_garbled_machine_set_holds_inherited_jobs_for_a_lease() {
+    let mut stored = stored(0..1);
+    stored.push(StoredFleet { name: "3-2".into(), stamp: 5, machines: None });
+    let mut c = Cluster::new(patient(), STAMPS, types(), stored, Vec::new(), 1_000);
+    c.handle(1_000, Event::Job { spec: spec(1, 2), submitted_at: 0, stamp: 3, done: None });
+    let mut first = None;
+    for step in 0..20 {
+        let now = 1_100 + step * 3_000;
+        let mut effects = c.handle(now, Event::Report(report(0, 1 + step, 7, Vec::new())));
+        effects.extend(ticks(&mut c, now, now + 3_000, &CallOutcome::NotSent));
+        if launches(&effects) > 0 {
+            first.get_or_insert(now);
+        }
+    }
+    assert!(first.is_some_and(|at| at > 1_000 + LEASE), "{first:?}");
+    let writes = c.next_writes(70_000, 8);
+    let drops = |w: &Write| matches!(w, Write::Fleet { pack, machines } if pack.name == "3-2" && machines.is_empty());
+    assert!(writes.iter().any(drops), "dropped then: {writes:?}");
+}
+
+/// What was accepted while nobody led can't have been launched, and need not wait for the fleet.
+#[test]
+fn a_job_accepted_while_nobody_led_starts_before_the_fleet_is_settled() {
+    let stamps = Stamps { token: 7, vacant: 5 };
+    let mut c = Cluster::new(patient(), stamps, types(), stored(0..2), Vec::new(), 1_000);
+    let job = |id, stamp| Event::Job { spec: spec(id, 1), submitted_at: 0, stamp, done: None };
+    c.handle(1_000, job(1, 4));
+    c.handle(1_000, job(2, 6));
+    let n = launches(&c.handle(1_100, Event::Report(report(0, 1, 7, Vec::new()))));
+    assert_eq!((n, c.jobs()[&JobId(2)].placed.len()), (1, 1));
+}
+
+/// Users' check: the largest job of an overloaded class steps back before the others; it is to
+/// begin within four minutes all the same.
+#[test]
+fn a_job_that_always_steps_back_begins_in_time() {
+    let mut policy = policy();
+    policy.aims.push(Aim { class: "c".into(), due: Due::Within(60_000) });
+    let mut c = Cluster::new(policy, STAMPS, types(), stored(0..1), Vec::new(), 1_000);
+    c.handle(1_000, Event::Job { spec: spec(1, 50), submitted_at: 1_000, stamp: 8, done: None });
+    let mut begun = None;
+    // One machine of two places, and a small job every 5 s that takes 10 s of one of them.
+    for step in 0..100u64 {
+        let now = 1_200 + step * 5_000;
+        let id = 2 + step;
+        c.handle(now, Event::Job { spec: spec(id, 1), submitted_at: now, stamp: 8, done: None });
+        let tasks: Vec<TaskReport> = c.machines()[&name(0)]
+            .runs
+            .values()
+            .map(|r| {
+                let over = r.sends > 0 && now >= r.first_sent + 10_000;
+                let phase = if over { Phase::Ended(Cause::Done) } else { Phase::Running };
+                TaskReport { phase, ..seen(r) }
+            })
+            .collect();
+        c.handle(now, Event::Report(report(0, 1 + step, 7, tasks)));
+        c.handle(now + 100, Event::Tick);
+        if !c.jobs()[&JobId(1)].untouched() {
+            begun.get_or_insert(now);
+        }
+    }
+    assert!(begun.is_some_and(|at| at < 240_000), "{begun:?}");
+}
--- a/crates/latchtrack-core/tests/simulation.rs
+++ b/crates/latchtrack-core/tests/simulation.rs
@@ -6,13 +6,13 @@
 
 mod world;
 
-use world::{Broken, World};
+use world::{Broken, Size, World, FLEET, SMALL};
 
 const SEEDS: std::ops::Range<u64> = 0..60;
 
 #[test]
 fn the_rules_hold_and_the_work_gets_done() {
-    let (mut done, mut terms, mut late) = (0, 0, 0);
+    let (mut done, mut terms, mut late, mut copies) = (0, 0, 0, 0);
     for seed in SEEDS {
         let mut world = World::new(seed, Broken::Nothing);
         world.run();
@@ -21,11 +21,13 @@
         done += world.jobs_done();
         terms += world.terms;
         late += world.late_commands;
+        copies += world.copies;
     }
     // The runs must have been troubled enough to mean something.
     assert!(done > 600, "{done} jobs done");
     assert!(terms > 120, "{terms} terms");
     assert!(late > 100, "{late} commands executed late");
+    assert!(copies > 400, "{copies} late copies");
 }
 
 /// Runs seeds until the checker speaks up; panics if it never does.
@@ -100,3 +102,61 @@
 fn calling_a_job_done_too_early_is_caught() {
     caught(Broken::EarlyDone, "not_done");
 }
+
+#[test]
+fn taking_late_copies_for_news_is_caught() {
+    // Its window is short, between a take-over and the answer to a first question: many copies.
+    let size = Size { copies: 0.5, ..SMALL };
+    let caught = (0..300).any(|seed| {
+        let mut world = World::sized(seed, Broken::BelieveCopies, size);
+        world.run();
+        world.violations.iter().any(|v| v.starts_with("ran_twice"))
+    });
+    assert!(caught, "never caught");
+}
+
+#[test]
+fn writing_packed_values_without_their_stamp_is_caught() {
+    caught(Broken::NoPackStamp, "ran_twice");
+}
+
+#[test]
+fn taking_all_jobs_for_never_launched_is_caught() {
+    caught(Broken::AlwaysVacant, "ran_twice");
+}
+
+/// What fails a day in the users' eyes, in overload: a class, a team or a class's largest jobs of
+/// which less than half is served, or a largest job that has not begun within four minutes.
+#[test]
+fn in_overload_all_classes_teams_and_largest_jobs_are_served() {
+    for seed in 0..4 {
+        // Far more than the machines can do in time, and no limits, which would decide instead.
+        let size = Size { first: 40, submits: 0.02, tasks: 30, limit: 1e6, end: 900_000, ..SMALL };
+        let mut world = World::sized(seed, Broken::Nothing, size);
+        world.run();
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.poorly_served(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Over a thousand machines, five nodes, and the puts that one leader has among them: the rules
+/// hold, all gets done, and it takes a bounded number of puts and calls.
+#[test]
+fn a_fleet_is_led_at_a_bounded_number_of_operations() {
+    for seed in 0..3 {
+        let mut world = World::sized(seed, Broken::Nothing, FLEET);
+        world.run();
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.unfinished(), Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.poorly_served(), Vec::<String>::new(), "seed {seed}");
+        let (done, tasks) = (world.jobs_done() as u64, world.tasks_done() as u64);
+        assert!(world.most_up > 1_000 && world.terms > 3, "a fleet, and troubles");
+        assert!(done > 200 && tasks > 5_000, "{done} jobs, {tasks} tasks");
+        // One for a job's end, few for its results and for the machines of all jobs. A leader with
+        // a put for each machine would need over a thousand more for every boot of this fleet.
+        assert!(world.puts < 5 * done, "{} puts", world.puts);
+        // One to start a task on an idle machine, one to ask each machine in each term.
+        let most = tasks + world.terms * world.most_up as u64;
+        assert!(world.calls < most, "{} calls, {most} at most", world.calls);
+    }
+}
--- a/crates/latchtrack-core/tests/world/mod.rs
+++ b/crates/latchtrack-core/tests/world/mod.rs
@@ -12,19 +12,73 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-/// ms of a step.
-const STEP: u64 = 50;
-/// ms in which troubles start, and after which everything must get done.
-const TROUBLED: u64 = 150_000;
-const END: u64 = 480_000;
 const LEASE: u64 = 15_000;
 const TTL: u64 = 3_000;
 const GUARD: u64 = 200;
 const CANCEL: u64 = 25_000;
-const REPORT: u64 = 1_500;
-const LIMIT: f64 = 14.0;
 const ZONES: [&str; 2] = ["a", "b"];
 
+/// How large a world is and how long it runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// ms of a step.
+    pub step: u64,
+    /// ms in which troubles start, and after which everything must get done.
+    pub troubled: u64,
+    pub end: u64,
+    pub nodes: usize,
+    /// Machines of each type, zone and kind.
+    pub capacity: usize,
+    /// ms between two reports.
+    pub report: u64,
+    /// Chance of a submission in a step, most tasks of a job, jobs at the start.
+    pub submits: f64,
+    pub tasks: u32,
+    pub first: usize,
+    /// Chance of a trouble in a step.
+    pub troubles: f64,
+    /// Chance that a report is copied on its way.
+    pub copies: f64,
+    /// CPUs that the limited team may use.
+    pub limit: f64,
+    /// ms between two writes of a leader, as its share of the puts would have it.
+    pub write_gap: u64,
+}
+
+/// A few machines and many troubles.
+pub const SMALL: Size = Size {
+    step: 50,
+    troubled: 150_000,
+    end: 480_000,
+    nodes: 5,
+    capacity: 4,
+    report: 1_500,
+    submits: 0.007,
+    tasks: 6,
+    first: 0,
+    troubles: 0.02,
+    copies: 0.02,
+    limit: 14.0,
+    write_gap: 0,
+};
+
+/// Over a thousand machines and the puts of one leader among five.
+pub const FLEET: Size = Size {
+    step: 200,
+    troubled: 100_000,
+    end: 360_000,
+    nodes: 5,
+    capacity: 150,
+    report: 4_000,
+    submits: 0.3,
+    tasks: 60,
+    first: 120,
+    troubles: 0.06,
+    copies: 0.02,
+    limit: 2_000.0,
+    write_gap: 800,
+};
+
 /// Which guard is broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Broken {
@@ -42,6 +96,12 @@
     /// The leader's writes are made without conditions.
     NoFence,
     DeafToCancel,
+    /// Late copies of reports are taken for news of now.
+    BelieveCopies,
+    /// Packed values are written whatever stamp they have, so that late writes undo newer ones.
+    NoPackStamp,
+    /// Jobs count as accepted while nobody led.
+    AlwaysVacant,
     NoLimit,
     AnyPlace,
     EarlyDone,
@@ -62,6 +122,8 @@
     told_done: bool,
     /// Fails on every machine.
     mistaken: bool,
+    submitted_at: u64,
+    begun: Option<u64>,
 }
 
 struct WTask {
@@ -85,6 +147,8 @@
     flying: Option<(u64, u64)>,
     next_report: u64,
     cut_until: u64,
+    /// Its reports arrive, answers and commands don't.
+    deaf_until: u64,
     hang_until: u64,
     sick: bool,
     done_here: BTreeSet<TaskId>,
@@ -106,6 +170,7 @@
     last_renew: u64,
     /// Steady clock at the start of this run.
     saving: bool,
+    next_save: u64,
     run: u64,
 }
 
@@ -212,6 +277,11 @@
     completed: BTreeSet<TaskId>,
     pub terms: u64,
     pub late_commands: u64,
+    pub copies: u64,
+    pub puts: u64,
+    pub calls: u64,
+    pub most_up: usize,
+    size: Size,
     next_job: u64,
     lonely: bool,
 }
@@ -233,8 +303,12 @@
 
 impl World {
     pub fn new(seed: u64, broken: Broken) -> Self {
+        World::sized(seed, broken, SMALL)
+    }
+
+    pub fn sized(seed: u64, broken: Broken, size: Size) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let nodes = (0..3)
+        let nodes = (0..size.nodes)
             .map(|_| Node {
                 up: true,
                 back_at: 0,
@@ -249,6 +323,7 @@
                 seen_stamp: 0,
                 last_renew: 0,
                 saving: false,
+                next_save: 0,
                 run: 0,
             })
             .collect();
@@ -274,6 +349,11 @@
             completed: BTreeSet::new(),
             terms: 0,
             late_commands: 0,
+            copies: 0,
+            puts: 0,
+            calls: 0,
+            most_up: 0,
+            size,
             next_job: 0,
             lonely: false,
         }
@@ -283,16 +363,19 @@
     /// is refused: only its own lease ends what it does.
     pub fn lonely(mut self) -> Self {
         for node in &mut self.nodes[1..] {
-            node.refused_until = END;
+            node.refused_until = self.size.end;
         }
         self.lonely = true;
         self
     }
 
     pub fn run(&mut self) {
-        while self.now < END && self.violations.is_empty() {
-            self.now += STEP;
-            if self.now < TROUBLED {
+        for _ in 0..self.size.first {
+            self.submit();
+        }
+        while self.now < self.size.end && self.violations.is_empty() {
+            self.now += self.size.step;
+            if self.now < self.size.troubled {
                 self.trouble();
                 self.users();
             } else if self.unfinished().is_empty() {
@@ -320,12 +403,49 @@
         self.jobs.values().filter(|j| matches!(j.state, State::Done)).count()
     }
 
+    pub fn tasks_done(&self) -> usize {
+        self.completed.len()
+    }
+
     pub fn unfinished(&self) -> Vec<String> {
         let open =
             self.jobs.iter().filter(|(_, j)| matches!(j.state, State::Open { .. }) && !j.mistaken);
         open.map(|(id, _)| id.to_string()).collect()
     }
 
+    /// Classes, teams and largest jobs of a class of which less than half was served, and largest
+    /// jobs that had not begun within four minutes: what fails a day in the users' eyes.
+    pub fn poorly_served(&self) -> Vec<String> {
+        type Group<'a> = BTreeMap<String, Vec<&'a Stored>>;
+        let mut groups = Group::new();
+        let mut bad = Vec::new();
+        let counted = |j: &&Stored| !j.mistaken && !matches!(j.state, State::Cancelled);
+        for j in self.jobs.values().filter(counted) {
+            groups.entry(format!("team {}", j.spec.team)).or_default().push(j);
+            groups.entry(format!("class {}", j.spec.class)).or_default().push(j);
+        }
+        for class in ["c", "d"] {
+            let Some(all) = groups.get(&format!("class {class}")) else { continue };
+            let mut all = all.clone();
+            all.sort_by_key(|j| std::cmp::Reverse(j.spec.tasks));
+            all.truncate(all.len().div_ceil(10));
+            for j in &all {
+                let begun = j.begun.unwrap_or(u64::MAX);
+                if begun > j.submitted_at + 240_000 && self.now > j.submitted_at + 240_000 {
+                    bad.push(format!("{} has not begun in time", j.spec.id));
+                }
+            }
+            groups.insert(format!("largest of {class}"), all);
+        }
+        for (name, jobs) in groups {
+            let done = jobs.iter().filter(|j| matches!(j.state, State::Done)).count();
+            if done * 2 < jobs.len() {
+                bad.push(format!("{name}: {done} of {}", jobs.len()));
+            }
+        }
+        bad
+    }
+
     fn chance(&mut self, p: f64) -> bool {
         self.rng.random_bool(p)
     }
@@ -337,7 +457,7 @@
 
     /// The delay of a message; now and then it is held back for long.
     fn delay(&mut self, held: f64) -> u64 {
-        if self.now < TROUBLED && self.chance(held) {
+        if self.now < self.size.troubled && self.chance(held) {
             self.rng.random_range(3_000..40_000)
         } else {
             self.rng.random_range(1..60)
@@ -351,18 +471,25 @@
     // ---- troubles and users ----
 
     fn trouble(&mut self) {
-        if !self.chance(0.02) {
+        if !self.chance(self.size.troubles) {
             return;
         }
         let (now, for_ms) = (self.now, self.rng.random_range(1_000..25_000));
         let until = now + for_ms;
-        let n = self.rng.random_range(0..3);
-        match self.rng.random_range(0..12) {
+        let nodes = self.size.nodes;
+        let n = self.rng.random_range(0..nodes);
+        match self.rng.random_range(0..13) {
             0 | 1 => self.crash(n),
-            2 if self.chance(0.3) => (0..3).for_each(|n| self.crash(n)),
+            2 if self.chance(0.3) => (0..nodes).for_each(|n| self.crash(n)),
             3 => self.nodes[n].paused_until = until,
             4 if self.chance(0.5) => self.nodes[n].cut_until = until,
             4 => self.nodes[n].refused_until = until + for_ms,
+            // The leader, which keeps hearing its workers.
+            12 => {
+                if let Some((leader, ..)) = self.leader {
+                    self.nodes[leader].refused_until = until;
+                }
+            }
             5 if self.chance(0.4) => self.store_down_until = now + for_ms / 2,
             6 if self.chance(0.4) => self.cloud_down_until = until,
             _ => {
@@ -385,7 +512,7 @@
                     // A machine that hangs for longer than its lease is as good as dead.
                     6 | 7 => w.hang_until = now + for_ms / 2,
                     8 => w.sick = true,
-                    _ => {}
+                    _ => w.deaf_until = until + 2 * LEASE,
                 }
             }
         }
@@ -399,14 +526,16 @@
         node.token = 0;
         node.saving = false;
         node.run += 1;
-        node.back_at = now + 2_000;
+        // Now and then within a fraction of a second, also in mid-election.
+        let back = if self.rng.random_bool(0.4) { 150 } else { 2_000 };
+        self.nodes[n].back_at = now + back;
     }
 
     fn users(&mut self) {
         if self.now < self.store_down_until {
             return;
         }
-        if self.chance(0.007) {
+        if self.chance(self.size.submits) {
             self.submit();
         }
         if self.chance(0.002) {
@@ -437,10 +566,10 @@
         let zone = rng.random_bool(0.2).then(|| ZONES[rng.random_range(0..2)].to_string());
         let spec = JobSpec {
             id,
-            class: "c".into(),
+            class: if rng.random_bool(0.5) { "c" } else { "d" }.into(),
             team: if rng.random_bool(0.5) { "free".into() } else { "limited".into() },
             priority: Priority::Normal,
-            tasks: rng.random_range(1..=6),
+            tasks: rng.random_range(1..=self.size.tasks),
             demand: Demand { cpus, gpus: 0.0, memory_gb: cpus },
             types: rng.random_bool(0.2).then(|| vec!["large".to_string()]),
             zone: zone.clone(),
@@ -469,6 +598,8 @@
                 told_cancelled: None,
                 told_done: false,
                 mistaken,
+                submitted_at: self.now,
+                begun: None,
             },
         );
     }
@@ -539,6 +670,7 @@
             return SaveOutcome::NotDone;
         }
         let none = || SaveOutcome::Conflict { jobs: vec![], fleet: vec![], results: vec![] };
+        self.puts += writes.len() as u64;
         if self.broken != Broken::NoFence {
             if self.leader.map(|l| l.1) != Some(token) {
                 return none();
@@ -552,8 +684,9 @@
                 .collect();
             let (mut fleet, mut results) = (Vec::new(), Vec::new());
             for w in writes {
+                let strict = self.broken != Broken::NoPackStamp;
                 let differs = |expect: Option<u64>, have: Option<u64>| {
-                    expect.is_some_and(|e| e != have.unwrap_or(0))
+                    strict && expect.is_some_and(|e| e != have.unwrap_or(0))
                 };
                 match w {
                     Write::Fleet { pack, .. } => {
@@ -632,6 +765,8 @@
 
     fn step_workers(&mut self) {
         let names: Vec<String> = self.workers.keys().cloned().collect();
+        let up = |w: &&Worker| w.alive && w.up_at <= self.now;
+        self.most_up = self.most_up.max(self.workers.values().filter(up).count());
         for name in names {
             let now = self.now;
             let Some(w) = self.workers.get_mut(&name) else { continue };
@@ -653,7 +788,7 @@
             let Some(w) = self.workers.get_mut(&name) else { continue };
             if w.flying.is_some_and(|(sent, _)| now > sent + 4_000) {
                 w.flying = None;
-                w.node = (w.node + 1) % 3;
+                w.node = (w.node + 1) % self.size.nodes;
                 w.next_report = now + 1_000;
             }
             if w.flying.is_none() && now >= w.next_report {
@@ -661,11 +796,18 @@
                 self.next_id += 1;
                 let id = self.next_id;
                 w.flying = Some((now, id));
-                w.next_report = now + REPORT;
+                w.next_report = now + self.size.report;
                 let (node, cut) = (w.node, now < w.cut_until);
                 let Some(report) = self.report(&name) else { continue };
                 let held = if cut { 1.0 } else { 0.01 };
                 let delay = self.delay(held);
+                if self.now < self.size.troubled && self.chance(self.size.copies) {
+                    // A copy that comes late, to whichever node, up to well over a lease.
+                    let delay = self.rng.random_range(2_000..3 * LEASE);
+                    let (worker, report) = (name.clone(), report.clone());
+                    let node = self.rng.random_range(0..self.size.nodes);
+                    self.post(delay, Msg::Report { node, worker, report, id: 0, sent: now });
+                }
                 if !(cut && self.chance(0.5)) {
                     let msg = Msg::Report { node, worker: name, report, id, sent: now };
                     self.post(delay, msg);
@@ -716,7 +858,9 @@
 
     /// The referee sees a task start.
     fn check_start(&mut self, name: &str, task: TaskId) {
-        let Some(j) = self.jobs.get(&task.job) else { return };
+        let now = self.now;
+        let Some(j) = self.jobs.get_mut(&task.job) else { return };
+        j.begun.get_or_insert(now);
         let spec = j.spec.clone();
         let on = |t: &WTask| matches!(t.phase, Phase::Running | Phase::Saving);
         let mut zones = Vec::new();
@@ -740,7 +884,7 @@
         if !rules::may_start(&spec, w.kind, w.zone, w.spot, zones.into_iter()) {
             bad.push(("wrong_place", format!("{task} on {name}")));
         }
-        if spec.team == "limited" && !rules::within_limit(used, spec.demand.cpus, LIMIT) {
+        if spec.team == "limited" && !rules::within_limit(used, spec.demand.cpus, self.size.limit) {
             bad.push(("quota", format!("{task}: {used} in use")));
         }
         for (rule, what) in bad {
@@ -896,7 +1040,7 @@
             gpus: 0.0,
             gpus_max: 0.0,
         };
-        let limit = if self.broken == Broken::NoLimit { 0.0 } else { LIMIT };
+        let limit = if self.broken == Broken::NoLimit { 0.0 } else { self.size.limit };
         let policy = Policy {
             weights: Weights::default(),
             slice: 1 + (token % 2) as u32,
@@ -905,16 +1049,19 @@
             pass_over_ms: 3_000,
             spot_after_ms: 0,
             ordinary_after_ms: 500,
-            silence_ms: 6_000,
+            silence_ms: Policy::silence_default(self.size.report).max(6_000),
             settle_ms: 4_000,
-            report_ms: REPORT,
+            report_ms: self.size.report,
             lease_ms: LEASE,
-            calls_open: 16,
-            value_bytes: 300,
+            calls_open: 16.max(self.size.capacity),
+            value_bytes: if self.size.capacity > 10 { 4_096 } else { 300 },
             teams: vec![team("free", 0.0), team("limited", limit)],
-            aims: vec![Aim { class: "c".into(), due: Due::Within(30_000) }],
+            aims: [("c", 30_000), ("d", 60_000)]
+                .map(|(class, ms)| Aim { class: class.into(), due: Due::Within(ms) })
+                .to_vec(),
         };
-        let stamps = Stamps { token, vacant: self.vacant };
+        let vacant = if self.broken == Broken::AlwaysVacant { 0 } else { self.vacant };
+        let stamps = Stamps { token, vacant };
         let inherited = match self.broken {
             Broken::NoSettling => Vec::new(),
             _ => self.fleet.values().cloned().collect(),
@@ -982,11 +1129,15 @@
             match effect {
                 Effect::Answer(commands) => answer = Some(commands),
                 Effect::Call { machine, session, call, commands, .. } => {
-                    let late = self.now < TROUBLED && self.chance(0.2);
+                    self.calls += 1;
+                    let late = self.now < self.size.troubled && self.chance(0.2);
                     let delay =
                         if late { self.rng.random_range(2_600..40_000) } else { self.delay(0.0) };
                     let worker = machine.clone();
-                    let cut = self.workers.get(&machine).is_none_or(|w| self.now < w.cut_until);
+                    let cut = self
+                        .workers
+                        .get(&machine)
+                        .is_none_or(|w| self.now < w.cut_until.max(w.deaf_until));
                     // Given up after 2.5 s, whether or not it arrives.
                     let lost = Msg::Did {
                         node: n,
@@ -1006,6 +1157,14 @@
                 }
                 Effect::Hire { hire, offer, number } => {
                     let (delay, tell) = (self.delay(0.05), !self.chance(0.05));
+                    if self.now < self.size.troubled && self.chance(0.1) {
+                        // A request that was carried out comes once more, late.
+                        let (hire, offer) = (hire.clone(), offer.clone());
+                        let again = self.rng.random_range(3_000..40_000);
+                        let tell = false;
+                        let msg = Msg::Hire { node: n, run, token, hire, offer, number, tell };
+                        self.post(again, msg);
+                    }
                     self.post(delay, Msg::Hire { node: n, run, token, hire, offer, number, tell });
                 }
                 Effect::Return(names) => {
@@ -1040,12 +1199,17 @@
             return;
         }
         let (run, token) = (node.run, node.token);
+        if now < node.next_save {
+            return;
+        }
+        let gap = self.size.write_gap;
         let Some(c) = node.cluster.as_mut() else { return };
         let writes = c.next_writes(now, 8);
         if writes.is_empty() {
             return;
         }
         node.saving = true;
+        node.next_save = now + gap;
         let (delay, tell) = (self.delay(0.03), !self.chance(0.03));
         if delay > 2_000 || !tell {
             // Unknown to the node, and perhaps applied late.
@@ -1053,12 +1217,21 @@
             let writes = writes.clone();
             self.post(2_000, Msg::Saved { node: n, run, token, writes, outcome });
         }
+        if self.now < self.size.troubled && self.chance(0.1) {
+            let again = self.rng.random_range(3_000..40_000);
+            let writes = writes.clone();
+            self.post(again, Msg::Write { node: n, run, token, writes, tell: false });
+        }
         self.post(delay, Msg::Write { node: n, run, token, writes, tell: tell && delay <= 2_000 });
     }
 
     fn deliver(&mut self, msg: Msg) {
         match msg {
-            Msg::Report { node, worker, report, id, sent } => {
+            Msg::Report { node, worker, mut report, id, sent } => {
+                self.copies += u64::from(id == 0);
+                if self.broken == Broken::BelieveCopies && id == 0 {
+                    report.token = self.nodes[node].token;
+                }
                 let node_cut = self.now < self.nodes[node].cut_until;
                 if !self.awake(node) || node_cut {
                     return;
@@ -1085,7 +1258,8 @@
                 let now = self.now;
                 let Some(w) = self.workers.get_mut(&worker) else { return };
                 let current = w.flying.is_some_and(|(_, f)| f == id) && now <= sent + 4_000;
-                if !w.alive || now < w.hang_until || now < w.cut_until || !current {
+                let unreached = now < w.cut_until.max(w.deaf_until);
+                if !w.alive || now < w.hang_until || unreached || !current {
                     return;
                 }
                 w.flying = None;
@@ -1105,7 +1279,8 @@
                 let Some(w) = self.workers.get_mut(&worker) else { return };
                 if w.flying.is_some_and(|(_, f)| f == id) {
                     w.flying = None;
-                    w.node = leader.filter(|l| *l != w.node).unwrap_or((w.node + 1) % 3);
+                    w.node =
+                        leader.filter(|l| *l != w.node).unwrap_or((w.node + 1) % self.size.nodes);
                     w.next_report = now + 500;
                 }
             }
@@ -1206,7 +1381,7 @@
             .values()
             .filter(|w| w.kind == offer.kind && w.zone == offer.zone && w.spot == offer.spot)
             .count();
-        let free = 4usize.saturating_sub(have).min(number as usize);
+        let free = self.size.capacity.saturating_sub(have).min(number as usize);
         if free == 0 {
             return HireOutcome::NoCapacity;
         }
@@ -1227,10 +1402,11 @@
                 token: 0,
                 lease_from: 0,
                 tasks: BTreeMap::new(),
-                node: self.rng.random_range(0..3),
+                node: self.rng.random_range(0..self.size.nodes),
                 flying: None,
                 next_report: 0,
                 cut_until: 0,
+                deaf_until: 0,
                 hang_until: 0,
                 sick: false,
                 done_here: BTreeSet::new(),
