Suspect a job only if none of it is done and little of it is elsewhere

Cause: three machines failing a job spoke against the job, which then paused for up to a minute and left the machines unblamed. An array of a hundred tasks meets three of 25 faulty machines in a second. Ruled out: that the longest waits came from this (unchanged). The log tells jobs that begin only after two minutes.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -71,6 +71,9 @@
 pub const FAIL_PAUSE_MOST_MS: Millis = 60_000;
 /// Different machines on which a job fails before the job, not the machines, is suspected.
 pub const JOB_SUSPECT: usize = 3;
+/// Tasks of a job still placed for each machine it failed on, above which the machines are suspected
+/// all the same: a large array meets many faulty machines of a large fleet.
+pub const SUSPECT_PLACED: usize = 4;
 /// Different jobs failing on a machine before it gets no more tasks and goes back.
 pub const MACHINE_SUSPECT: usize = 2;
 /// ms a machine gets no task after a task failed on it while other jobs have not yet judged it.
--- a/crates/latchtrack-core/src/job.rs
+++ b/crates/latchtrack-core/src/job.rs
@@ -233,9 +233,12 @@
         n >= SLOW_LIKE && ran as f64 * f64::from(n) > SLOW_FACTOR * sum as f64
     }
 
-    /// Looks for a job that fails everywhere rather than for machines that fail everything.
+    /// Looks for a job that fails everywhere rather than for machines that fail everything: not one
+    /// of it is done, and few of its tasks are anywhere but where it has failed.
     pub fn suspect(&self) -> bool {
         self.failed_on.len() >= JOB_SUSPECT
+            && self.done.ones() == 0
+            && self.placed.len() < SUSPECT_PLACED * self.failed_on.len()
     }
 }
 
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -205,7 +205,7 @@
         for id in self.begin.clone() {
             let spec = self.jobs[&id].spec.clone();
             let slice = self.slice_of(&spec).min(self.limit_left(&spec, &round));
-            self.fill_ready(id, &spec, slice, &mut round);
+            self.fill_ready(now, id, &spec, slice, &mut round);
         }
         for (_, id) in &order {
             self.place_job(now, *id, &mut round);
@@ -246,7 +246,7 @@
                 continue;
             }
             room.take(&spec.demand, slice);
-            self.assign(id, &spec, machine, slice);
+            self.assign(now, id, &spec, machine, slice);
         }
         let mut placed = Vec::new();
         let mut empty = 0;
@@ -275,7 +275,7 @@
             }
         }
         for (id, spec, n) in placed {
-            self.assign(id, &spec, machine, n);
+            self.assign(now, id, &spec, machine, n);
         }
         if empty * 2 > self.queue.len() {
             let jobs = &self.jobs;
@@ -400,7 +400,7 @@
         }
         let mut left = waiting;
         if !round.shapes[shape].no_ready {
-            left -= self.fill_ready(id, &spec, waiting, round);
+            left -= self.fill_ready(now, id, &spec, waiting, round);
         }
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if left == 0 {
@@ -438,7 +438,14 @@
     }
 
     /// Places whole slices on machines that are up, by rising score; returns how many tasks.
-    fn fill_ready(&mut self, id: JobId, spec: &Arc<JobSpec>, want: u32, round: &mut Round) -> u32 {
+    fn fill_ready(
+        &mut self,
+        now: Millis,
+        id: JobId,
+        spec: &Arc<JobSpec>,
+        want: u32,
+        round: &mut Round,
+    ) -> u32 {
         let Some(job) = self.jobs.get(&id) else { return 0 };
         let zoned = spec.one_zone || spec.spread;
         let live: Vec<Arc<str>> = match zoned {
@@ -531,7 +538,7 @@
             n -= here;
             round.rooms[i].take(&spec.demand, here);
             if let Some(machine) = round.rooms[i].machine.clone() {
-                self.assign(id, spec, &machine, here);
+                self.assign(now, id, spec, &machine, here);
             }
         }
         if self.any_limit() {
@@ -542,9 +549,13 @@
         placed
     }
 
-    fn assign(&mut self, id: JobId, spec: &Arc<JobSpec>, machine: &str, n: u32) {
+    fn assign(&mut self, now: Millis, id: JobId, spec: &Arc<JobSpec>, machine: &str, n: u32) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(m) = self.machines.get_mut(machine) else { return };
+        let age = now.saturating_sub(job.submitted_at);
+        if age > BEGIN_MS && job.untouched() {
+            self.out.push(Effect::Note(format!("job {id} begins after {age} ms")));
+        }
         for index in job.take(n) {
             self.next_attempt += 1;
             let attempt = (self.token << ATTEMPT_BITS) | self.next_attempt;
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -155,6 +155,8 @@
                     }
                 }
                 let news = job.complete(run.task.index, run.attempt);
+                // It can be done: the failures were its machines'.
+                job.pause_until = 0;
                 if job.done.full() {
                     self.finished.insert(run.task.job);
                 } else if news {
@@ -166,10 +168,11 @@
             }
             Cause::Error => {
                 job.failed_on.insert(machine.to_string());
-                let doublings = (job.failed_on.len() as u32).saturating_sub(1).min(16);
-                let pause = (FAIL_PAUSE_MS << doublings).min(FAIL_PAUSE_MOST_MS);
-                job.pause_until = job.pause_until.max(now + pause);
-                if !job.suspect() {
+                if job.suspect() {
+                    let doublings = (job.failed_on.len() as u32).saturating_sub(1).min(16);
+                    let pause = (FAIL_PAUSE_MS << doublings).min(FAIL_PAUSE_MOST_MS);
+                    job.pause_until = job.pause_until.max(now + pause);
+                } else {
                     m.failed_jobs.insert(run.task.job);
                     m.probation_until = now + PROBATION_MS;
                     if m.failed_jobs.len() >= MACHINE_SUSPECT && !m.leaving {
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -584,3 +584,36 @@
     }
     assert!(begun.is_some_and(|at| at < 240_000), "{begun:?}");
 }
+
+/// Seen in the design for a few machines, where three of them failing a job spoke against the job: a
+/// large array meets three faulty machines of a large fleet at once, and was then held back for up
+/// to a minute while the faulty machines kept their names.
+#[test]
+fn a_large_job_on_a_few_faulty_machines_is_not_suspected() {
+    let phases = |c: &Cluster, i: u64, phase| -> Vec<TaskReport> {
+        let runs = c.machines()[&name(i)].runs.values();
+        runs.map(|r| TaskReport { phase, ..seen(r) }).collect()
+    };
+    let run = |tasks: u32| {
+        let mut c = Cluster::new(patient(), STAMPS, types(), stored(0..20), Vec::new(), 1_000);
+        for i in 0..20 {
+            c.handle(1_000, Event::Report(report(i, 1, 7, Vec::new())));
+        }
+        let job = Event::Job { spec: spec(1, tasks), submitted_at: 0, stamp: 8, done: None };
+        c.handle(1_100, job);
+        c.handle(1_300, Event::Tick);
+        // All its tasks on three of its machines fail.
+        let on: Vec<u64> =
+            (0..20).filter(|i| !c.machines()[&name(*i)].runs.is_empty()).take(3).collect();
+        for i in on {
+            let failed = phases(&c, i, Phase::Ended(Cause::Error));
+            c.handle(2_000, Event::Report(report(i, 2, 7, failed)));
+        }
+        c
+    };
+    let large = run(38);
+    assert!(!large.jobs()[&JobId(1)].suspect());
+    assert_eq!(large.jobs()[&JobId(1)].pause_until, 0, "its tasks go elsewhere at once");
+    let small = run(6);
+    assert!(small.jobs()[&JobId(1)].suspect(), "it has failed wherever it was");
+}
