What a report frees goes to one of the next few jobs whose image the machine holds

Cause: under load every freed place went to the first job of the queue, and a fetch of 0.8 to 20 s kept it busy.

--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -143,11 +143,8 @@
     /// image: while the fetch would miss the aim in any case, and some machine has it.
     fn waits_for_image(&self, now: Millis, job: &Job, kind: &str) -> bool {
         let spec = &job.spec;
-        let Some((_, within)) = self.policy.prompt.iter().find(|(class, _)| *class == spec.class)
-        else {
-            return false;
-        };
-        let until = job.submitted_at.saturating_add(*within);
+        let Some(within) = self.prompt_ms(spec) else { return false };
+        let until = job.submitted_at.saturating_add(within);
         let speed = self.type_of(kind).map_or(0.0, |t| t.fetch_gb_per_s);
         speed > 0.0
             && now < until
@@ -271,8 +268,29 @@
             room.take(&spec.demand, slice);
             self.assign(now, id, &spec, machine, slice);
         }
-        let mut placed = Vec::new();
         let mut empty = 0;
+        while room.free.cpus > 0.0 {
+            let (next, gone) = self.next_here(now, machine, &room);
+            empty = gone;
+            let Some((id, n)) = next else { break };
+            let Some(job) = self.jobs.get(&id) else { break };
+            let spec = job.spec.clone();
+            room.take(&spec.demand, n);
+            self.assign(now, id, &spec, machine, n);
+        }
+        if empty * 2 > self.queue.len() {
+            let jobs = &self.jobs;
+            self.queue.retain(|id| jobs.get(id).is_some_and(|j| j.waiting() > 0));
+        }
+    }
+
+    /// The job of the queue that takes this room next, with how many tasks: the first that fits, or
+    /// one of the next few whose image the machine holds, unless that passes a job that is to start
+    /// promptly. Also how many jobs of the queue had nothing left.
+    fn next_here(&self, now: Millis, machine: &str, room: &Room) -> (Option<(JobId, u32)>, usize) {
+        let mut empty = 0;
+        let mut first = None;
+        let mut looked = 0;
         // Held room is for the jobs of a shape and those before them.
         let held = self.held.get(machine).copied();
         let mut reached = false;
@@ -286,24 +304,26 @@
                 continue;
             }
             let slice = self.slice_of(&job.spec);
-            let fits = self.fits_here(now, job, machine, &room);
+            let fits = self.fits_here(now, job, machine, room);
             let n = if fits < job.waiting() { fits / slice * slice } else { job.waiting() };
             if n == 0 {
                 continue;
             }
-            room.take(&job.spec.demand, n);
-            placed.push((*id, job.spec.clone(), n));
-            if room.free.cpus <= 0.0 {
+            if room.images.contains(&job.spec.image) {
+                return (Some((*id, n)), empty);
+            }
+            first.get_or_insert((*id, n));
+            looked += 1;
+            if looked >= WARM_LOOK || self.prompt_ms(&job.spec).is_some() {
                 break;
             }
         }
-        for (id, spec, n) in placed {
-            self.assign(now, id, &spec, machine, n);
-        }
-        if empty * 2 > self.queue.len() {
-            let jobs = &self.jobs;
-            self.queue.retain(|id| jobs.get(id).is_some_and(|j| j.waiting() > 0));
-        }
+        (first, empty)
+    }
+
+    /// Within how many ms the tasks of this job's class are to start, if that is an aim.
+    fn prompt_ms(&self, spec: &JobSpec) -> Option<Millis> {
+        self.policy.prompt.iter().find(|(class, _)| *class == spec.class).map(|(_, ms)| *ms)
     }
 
     /// Whether a job may not start anything while a machine is unsettled: an earlier leader may
