Keep the machine types in the state service for nodes that start while the cloud is down

Cause: a restarted node knew no types until the cloud answered, took no job and could not lead; with the cloud's interface down that lasts as long as the outage. The leader stores the types when they change; a starting node reads them until the cloud tells. More workers are named to the followers and relayed at once.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -37,8 +37,8 @@
 pub const PROBE_MS: Millis = 2_000;
 /// The same for machines that a new leader has asked directly.
 pub const UNSETTLED_MS: Millis = 1_000;
-/// Machines named to them at most.
-pub const OVERDUE_MOST: usize = 500;
+/// Machines named to them at most, once a second: a zone of a large fleet, some 30 KB a message.
+pub const OVERDUE_MOST: usize = 2_000;
 /// ms a machine is asked directly, two calls of 2.5 s, before it is deleted and its tasks go
 /// elsewhere (default of `silence_s`, on top of when the asking begins).
 pub const ASKED_MS: Millis = 6_000;
--- a/crates/latchtrack/src/actors/cloud.rs
+++ b/crates/latchtrack/src/actors/cloud.rs
@@ -10,11 +10,13 @@
 
 use super::intake::{Intake, Types};
 use super::leader::{Came, Leader};
+use super::store::{self, Answered, Ask, Class, Reply, Store};
 use crate::clock::now_ms;
 use crate::constants::*;
 use crate::net::{finish, http_client, CallError};
 use crate::settings::Settings;
 use crate::wire::cloud::*;
+use crate::wire::records::{read_types, TYPES};
 
 /// Something to do at the cloud, in the term of a token.
 #[derive(Message, Debug)]
@@ -51,6 +53,7 @@
 }
 
 pub struct Cloud {
+    store: Addr<Store>,
     client: awc::Client,
     base: String,
     rate: f64,
@@ -63,9 +66,10 @@
 }
 
 impl Cloud {
-    pub fn new(settings: &Settings) -> Self {
+    pub fn new(store: Addr<Store>, settings: &Settings) -> Self {
         let rate = settings.platform.params.cloud.rps * LIMIT_USED;
         Cloud {
+            store,
             client: http_client(8),
             base: format!("http://{}", settings.platform.services.cloud),
             rate,
@@ -176,6 +180,10 @@
             tracing::info!("{} machine types known", types.len());
         }
         self.typed = true;
+        self.pass_types(types);
+    }
+
+    fn pass_types(&self, types: Vec<MachineType>) {
         if let Some(c) = &self.customers {
             c.intake.do_send(Types(types.clone()));
             c.leader.do_send(Types(types));
@@ -274,6 +282,24 @@
     fn handle(&mut self, msg: Customers, ctx: &mut Self::Context) {
         self.customers = Some(msg);
         ctx.address().do_send(Errand::Types);
+        // While the cloud can't be asked, what it last told a leader will do: without the types no
+        // node takes a job and nobody can lead.
+        let store = self.store.clone();
+        let work = async move {
+            let ask = Ask::Get { key: TYPES.into() };
+            store::ask(&store, Class::Read, ask, CLOUD_TIMEOUT.as_millis() as u64).await
+        };
+        ctx.spawn(work.into_actor(self).map(|answer, act, _| {
+            let Ok(Answered { reply: Reply::Item(item), .. }) = answer else { return };
+            match read_types(item.value.get()) {
+                Some(types) if !act.typed => {
+                    tracing::info!("{} machine types known from the state service", types.len());
+                    act.pass_types(types);
+                }
+                Some(_) => {}
+                None => tracing::error!("the stored machine types are garbled and not used"),
+            }
+        }));
     }
 }
 
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -25,7 +25,7 @@
 use crate::net::{finish, http_client, CallError};
 use crate::settings::Settings;
 use crate::wire::peers::Frame;
-use crate::wire::records::*;
+use crate::wire::records::{types as types_record, *};
 use crate::wire::store::{Change, Condition, Txn};
 use crate::wire::workers::{parse_report, Call, CommandDto};
 
@@ -102,6 +102,8 @@
     txn_ops: usize,
     ttl_ms: u64,
     types: Vec<MachineType>,
+    /// The types as this node knows them to be stored.
+    stored_types: Vec<MachineType>,
     office: Option<(u64, u64)>,
     cluster: Option<Cluster>,
     building: bool,
@@ -141,6 +143,7 @@
             txn_ops: settings.platform.params.state.txn_ops,
             ttl_ms: settings.leader_ttl_ms(),
             types: Vec::new(),
+            stored_types: Vec::new(),
             office: None,
             cluster: None,
             building: false,
@@ -390,9 +393,31 @@
         for change in std::mem::take(&mut self.meanwhile) {
             self.change(change, ctx);
         }
+        self.keep_types(ctx);
         self.drive(Event::Tick, ctx);
     }
 
+    /// Stores the machine types for nodes that start while the cloud can't be asked.
+    fn keep_types(&mut self, ctx: &mut Context<Self>) {
+        if self.cluster.is_none() || same_types(&self.stored_types, &self.types) {
+            return;
+        }
+        let types = self.types.clone();
+        let Ok(value) = types_record(&types) else { return };
+        let txn = Txn {
+            conditions: vec![Condition { key: LEADER.into(), version: self.token() }],
+            changes: vec![Change::Put { key: TYPES.into(), value, lease: None }],
+        };
+        let store = self.store.clone();
+        let work = async move { store::ask(&store, Class::Progress, Ask::Txn(txn), 10_000).await };
+        ctx.spawn(work.into_actor(self).map(move |result, act, _| {
+            // Otherwise again when the cloud is next asked.
+            if matches!(result.map(|a| a.reply), Ok(Reply::Applied(_))) {
+                act.stored_types = types;
+            }
+        }));
+    }
+
     fn change(&mut self, change: JobChange, ctx: &mut Context<Self>) {
         let event = match change {
             JobChange::Open(spec, at_ms, stamp) => {
@@ -547,6 +572,7 @@
     fn handle(&mut self, msg: Types, ctx: &mut Self::Context) {
         self.types = msg.0.clone();
         self.drive(Event::Types(msg.0), ctx);
+        self.keep_types(ctx);
         self.build(ctx);
     }
 }
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -98,12 +98,14 @@
 /// ms in which a worker that was sent to the leader and is back has its reports passed on; then it
 /// is sent there again.
 pub const RELAY_MS: u64 = 20_000;
-/// Workers remembered as sent on, before old ones are dropped.
-pub const SENT_ON_KEPT: usize = 2_000;
+/// Workers remembered as sent on, before old ones are dropped: a large fleet after a change of
+/// leader, some 80 bytes each.
+pub const SENT_ON_KEPT: usize = 4_000;
 /// Bytes of the largest frame between nodes.
 pub const FRAME_BYTES: usize = 256 * 1024;
-/// Frames waiting for a node; more are refused.
-pub const PEER_QUEUE: usize = 64;
+/// Frames waiting for a node, and requests of one that are answered side by side; more are refused.
+/// A zone that can't reach the leader has some hundred reports a second relayed.
+pub const PEER_QUEUE: usize = 256;
 
 /// Bytes of the largest request body (the protocol's bound).
 pub const BODY_BYTES: usize = 64 * 1024;
--- a/crates/latchtrack/src/node.rs
+++ b/crates/latchtrack/src/node.rs
@@ -27,7 +27,7 @@
     tracing::info!("node {} serves", settings.platform.node_name);
     let store = Store::new(&settings).start();
     let cache = JobCache::new(store.clone()).start();
-    let cloud = Cloud::new(&settings).start();
+    let cloud = Cloud::new(store.clone(), &settings).start();
     let peers = Peers::new(&settings, peers, cache.clone()).start();
     let intake = Intake::new(store.clone(), cache.clone(), &settings).start();
     let leader =
--- a/crates/latchtrack/src/wire/records.rs
+++ b/crates/latchtrack/src/wire/records.rs
@@ -7,6 +7,7 @@
 use base64::Engine;
 use latchtrack_core::job::{Demand, JobId, JobSpec, Priority};
 use latchtrack_core::leader::StoredMachine;
+use latchtrack_core::machine::MachineType;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -18,6 +19,8 @@
 pub const JOBS: &str = "live/job/";
 /// Prefix of the stored results of unfinished jobs.
 pub const RESULTS: &str = "results/";
+/// The machine types, as the cloud last told them.
+pub const TYPES: &str = "site/types";
 /// Prefix of the machine set.
 pub const FLEET: &str = "fleet/";
 
@@ -221,6 +224,62 @@
     Ok(records.into_iter().map(machine).collect())
 }
 
+/// A machine type: name, CPUs, GPUs, memory, price, spot price, boot time, image room, speed of a
+/// fetch, zones.
+type TypeRecord = (String, f64, f64, f64, f64, f64, f64, f64, f64, Vec<String>);
+
+/// The stored machine types.
+pub fn types(types: &[MachineType]) -> serde_json::Result<Box<RawValue>> {
+    let record = |t: &MachineType| -> TypeRecord {
+        let MachineType { cpus, gpus, memory_gb, price, spot_price, boot_s, .. } = *t;
+        let (cache, fetch) = (t.cache_gb, t.fetch_gb_per_s);
+        (
+            t.name.clone(),
+            cpus,
+            gpus,
+            memory_gb,
+            price,
+            spot_price,
+            boot_s,
+            cache,
+            fetch,
+            t.zones.clone(),
+        )
+    };
+    serde_json::value::to_raw_value(&types.iter().map(record).collect::<Vec<_>>())
+}
+
+/// Reads the stored machine types; None if they are garbled.
+pub fn read_types(json: &str) -> Option<Vec<MachineType>> {
+    let records: Vec<TypeRecord> = serde_json::from_str(json).ok()?;
+    let read = |r: TypeRecord| {
+        let (name, cpus, gpus, memory_gb, price, spot_price, boot_s, cache_gb, fetch, zones) = r;
+        let numbers = [cpus, gpus, memory_gb, price, spot_price, boot_s, cache_gb, fetch];
+        let sane = numbers.iter().all(|n| n.is_finite() && *n >= 0.0);
+        sane.then_some(MachineType {
+            name,
+            cpus,
+            gpus,
+            memory_gb,
+            price,
+            spot_price,
+            boot_s,
+            cache_gb,
+            fetch_gb_per_s: fetch,
+            zones,
+        })
+    };
+    records.into_iter().map(read).collect()
+}
+
+/// Whether two lists of types differ in nothing but prices, which move and are not worth a write.
+pub fn same_types(a: &[MachineType], b: &[MachineType]) -> bool {
+    let priceless = |types: &[MachineType]| -> Vec<MachineType> {
+        types.iter().map(|t| MachineType { price: 0.0, spot_price: 0.0, ..t.clone() }).collect()
+    };
+    priceless(a) == priceless(b)
+}
+
 /// Bits of done tasks, by job and chunk.
 pub type Chunks = Vec<(JobId, u32, Vec<u8>)>;
 
@@ -311,6 +370,27 @@
         }
     }
 
+    #[test]
+    fn machine_types_survive() {
+        let t = MachineType {
+            name: "g".into(),
+            cpus: 8.0,
+            gpus: 1.0,
+            memory_gb: 32.0,
+            price: 1.0,
+            spot_price: 0.3,
+            boot_s: 10.0,
+            cache_gb: 30.0,
+            fetch_gb_per_s: 0.5,
+            zones: vec!["a".into(), "b".into()],
+        };
+        let json = types(std::slice::from_ref(&t)).unwrap();
+        assert_eq!(read_types(json.get()), Some(vec![t.clone()]));
+        assert_eq!(read_types("[[1]]"), None);
+        assert!(same_types(&[MachineType { price: 9.0, ..t.clone() }], std::slice::from_ref(&t)));
+        assert!(!same_types(&[MachineType { cpus: 9.0, ..t.clone() }], &[t]));
+    }
+
     /// A leader of this version takes over from one of the last: no machine may be missed.
     #[test]
     fn machines_survive_in_both_forms() {
--- a/crates/latchtrack/tests/faces.rs
+++ b/crates/latchtrack/tests/faces.rs
@@ -372,3 +372,22 @@
     until("it serves again", &format!("{node}/api/jobs/req-999999"), |g| g.0 == 404).await;
     assert_eq!(post(&url, &job("req-000001")).await.0, 201);
 }
+
+/// Found in review: a node that started while the cloud's interface was down took no job, and after
+/// a restart of all of them nobody could lead. What a leader stored of the types serves meanwhile.
+#[actix_web::test]
+async fn a_node_started_while_the_cloud_is_down_takes_jobs() {
+    let site = site();
+    let one = site.node("one").await;
+    ready(&one).await;
+    while !site.state.lock().unwrap().keys.contains_key("site/types") {
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    site.sky.lock().unwrap().down = true;
+    let two = site.node("two").await;
+    ready(&two).await;
+    assert_eq!(post(&format!("{two}/api/jobs"), &job("req-000001")).await.0, 201);
+    let mut odd = job("req-000002");
+    odd["cores"] = json!(9.0);
+    assert_eq!(post(&format!("{two}/api/jobs"), &odd).await.0, 422, "it knows what fits");
+}
--- a/crates/latchtrack/tests/standins/mod.rs
+++ b/crates/latchtrack/tests/standins/mod.rs
@@ -78,6 +78,19 @@
     HttpResponse::Ok().json(json!({"epoch": s.epoch, "log": log}))
 }
 
+async fn item(s: web::Data<Shared<State>>, key: web::Path<String>) -> HttpResponse {
+    let s = s.lock().unwrap();
+    if s.down {
+        return trouble();
+    }
+    match s.keys.get(&*key) {
+        Some((v, stamp, _)) => {
+            HttpResponse::Ok().json(json!({"k": *key, "data": v, "stamp": stamp}))
+        }
+        None => HttpResponse::NotFound().json(json!({"epoch": s.epoch})),
+    }
+}
+
 async fn txn(s: web::Data<Shared<State>>, body: web::Json<Value>) -> HttpResponse {
     let mut s = s.lock().unwrap();
     if s.down {
@@ -178,10 +191,15 @@
 pub struct Sky {
     pub rented: Vec<String>,
     pub deleted: Vec<String>,
+    /// Answers 503 to who asks for the types.
+    pub down: bool,
     hires: BTreeMap<String, Vec<String>>,
 }
 
-async fn types() -> HttpResponse {
+async fn types(s: web::Data<Shared<Sky>>) -> HttpResponse {
+    if s.lock().unwrap().down {
+        return trouble();
+    }
     HttpResponse::Ok().json(json!({"builds": [{"sku": "t1", "cores": 8, "cards": 0,
         "memory_gb": 32, "local_gb": 20, "pull_gb_per_s": 1.0, "price": 1.0, "spot_price": 0.3,
         "ready_s": 1, "yards": ["a"], "new": {}}]}))
@@ -263,6 +281,7 @@
             })
             .app_data(web::Data::new(state.clone()))
             .route("/store", web::get().to(list))
+            .route("/store/{key:.*}", web::get().to(item))
             .route("/watch", web::get().to(watch))
             .route("/txn", web::post().to(txn))
             .route("/grants", web::post().to(grant))
