Rent ordinary machines only after 8 s without room

Cause: they cost three times as much on all sites, and a class that waits for seconds finds room when others' tasks end.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -21,7 +21,7 @@
 /// ms a job finds no room before a spot machine is rented for it.
 pub const SPOT_AFTER_MS: Millis = 0;
 /// ms a job finds no room before an ordinary machine is rented for it: three times the price.
-pub const ORDINARY_AFTER_MS: Millis = 3_000;
+pub const ORDINARY_AFTER_MS: Millis = 8_000;
 /// ms a (type, zone, kind) that had no machine is left alone, unless one of ours goes back: asking
 /// in vain uses up the call rate that rentals and returns need.
 pub const EXHAUSTED_MS: Millis = 10_000;
