--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -338,9 +338,8 @@
         outcome: CallOutcome,
     ) {
         // Over for the count, be it that the machine is gone meanwhile.
-        if self.calls.remove(&call) == Some(true) {
-            self.probes_open -= 1;
-        }
+        let probing = self.calls.remove(&call).unwrap_or(false);
+        self.probes_open -= usize::from(probing);
         let Some(m) = self.machines.get_mut(machine) else { return };
         if m.call != Some(call) {
             return;
@@ -374,9 +373,9 @@
             CallOutcome::Lost => {
                 m.unanswered += 1;
                 m.call_after = now + 1_000;
-                for run in m.runs.values_mut() {
-                    // Which launches were in it is not kept: each one not yet seen, or ended,
-                    // counts as possibly in it. Never forgetting one too many costs a line.
+                // Which launches were in it is not kept: each one not yet seen, or ended, counts as
+                // possibly in it. Never forgetting one too many costs a line; a question had none.
+                for run in m.runs.values_mut().filter(|_| !probing) {
                     run.lost_call = true;
                 }
             }
--- a/crates/latchtrack-core/src/packs.rs
+++ b/crates/latchtrack-core/src/packs.rs
@@ -185,11 +185,6 @@
         }
     }
 
-    /// Puts back a value that was taken for writing and is not written after all.
-    pub fn put_back(&mut self, write: &PackWrite<K>) {
-        self.wrote(write, Wrote::No);
-    }
-
     /// How the write of a value ended.
     pub fn wrote(&mut self, write: &PackWrite<K>, outcome: Wrote) {
         let name = write.name.as_str();
@@ -228,16 +223,6 @@
             }
         }
     }
-
-    /// Whether an entry is in some value.
-    pub fn contains(&self, k: &K) -> bool {
-        self.of.contains_key(k)
-    }
-
-    /// Names of all values, for checks.
-    pub fn names(&self) -> BTreeSet<String> {
-        self.packs.keys().cloned().collect()
-    }
 }
 
 #[cfg(test)]
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -653,3 +653,39 @@
     images.used("huge", 9.0, 4.0);
     assert!(images.contains("huge") && !images.contains("a"), "it runs, so it is there");
 }
+
+/// Found in review: a question without an answer marked every run of the machine as perhaps launched
+/// again, none of which was then ever forgotten; after a cut the reports of a machine grew without end.
+#[test]
+fn a_question_without_an_answer_keeps_no_run_from_being_forgotten() {
+    let forgets = |commands: bool| {
+        let mut c = Cluster::new(patient(), STAMPS, types(), stored(0..1), Vec::new(), 1_000);
+        let demand = Demand { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 };
+        let spec = Arc::new(JobSpec { demand, ..(*spec(1, 8)).clone() });
+        let job = Event::Job { spec, submitted_at: 0, stamp: 8, done: None };
+        if !commands {
+            c.handle(1_000, job.clone());
+        }
+        c.handle(1_100, Event::Report(report(0, 1, 7, Vec::new())));
+        if commands {
+            c.handle(1_200, job);
+        }
+        // Launched by the answer or by a direct call; in either case the next call is lost.
+        let running = |c: &Cluster, phase| -> Vec<TaskReport> {
+            let runs = c.machines()[&name(0)].runs.values();
+            runs.map(|r| TaskReport { phase, ..seen(r) }).collect()
+        };
+        ticks(&mut c, 1_300, 9_000, &CallOutcome::Lost);
+        let tasks = running(&c, Phase::Running);
+        c.handle(9_100, Event::Report(report(0, 2, 7, tasks)));
+        let tasks = running(&c, Phase::Ended(Cause::Done));
+        c.handle(10_000, Event::Report(report(0, 3, 7, tasks.clone())));
+        let writes = c.next_writes(10_100, 8);
+        c.handle(10_200, Event::Saved { writes, outcome: SaveOutcome::Ok(9) });
+        let effects = c.handle(11_000, Event::Report(report(0, 4, 7, tasks)));
+        let Some(Effect::Answer(answer)) = effects.first() else { panic!("{effects:?}") };
+        answer.iter().filter(|c| matches!(c, Command::Forget { .. })).count()
+    };
+    assert_eq!(forgets(false), 8, "only questions were lost");
+    assert_eq!(forgets(true), 0, "a launch may come late");
+}
