--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -101,8 +101,9 @@
 /// what a worker lists costs a report.
 pub const FORGET_LEAST: usize = 8;
 /// ms after which a job that has not begun gets one slice before all others: however large it is and
-/// however often it steps back, people are to see it begin, within four minutes at the latest.
-pub const BEGIN_MS: Millis = 120_000;
+/// however often it steps back, people are to see it begin, within four minutes at the latest. The
+/// rest of these is left for a place to come free; sooner, it takes room from jobs in time.
+pub const BEGIN_MS: Millis = 150_000;
 /// Jobs of the queue that are looked at for one whose image the machine at hand holds: a fetch keeps
 /// room busy for a tenth of a run and more, a few places in the queue are seconds.
 pub const WARM_LOOK: usize = 8;
