--- a/crates/latchtrack/tests/faces.rs
+++ b/crates/latchtrack/tests/faces.rs
@@ -106,10 +106,7 @@
     let site = site();
     let one = site.node("one").await;
     ready(&one).await;
-    let key = |s: &State| s.keys.get("live/leader").map(|k| k.0["node"].clone());
-    while key(&site.state.lock().unwrap()).is_none() {
-        actix_web::rt::time::sleep(std::time::Duration::from_millis(20)).await;
-    }
+    leader(&site).await;
     let two = site.node("two").await;
     ready(&two).await;
     // Accepted by a follower, placed by the leader.
@@ -198,16 +195,7 @@
     let [one, two] = site.pair().await;
     ready(&one).await;
     ready(&two).await;
-    let leads = || {
-        let state = site.state.lock().unwrap();
-        state.keys.get("live/leader").map(|k| k.0["node"].as_str().unwrap().to_string())
-    };
-    let leader = loop {
-        if let Some(name) = leads() {
-            break name;
-        }
-        actix_web::rt::time::sleep(std::time::Duration::from_millis(20)).await;
-    };
+    let (leader, ..) = leader(&site).await;
     let follower = if leader == "one" { &two } else { &one };
     assert_eq!(post(&format!("{follower}/api/jobs"), &job("req-000001")).await.0, 201);
     // It is sent to the leader, comes back, and then gets its work through the follower.
