Judge silence by zones: a quiet zone is cut off, its machines stay past their lease

Cause: a cut was told from dead machines by whether more than half of all were overdue. Now: nothing heard of a zone for 3 s and 12 questions in vain is a cut. A leader that was there before keeps the machines, frees their tasks when the lease is surely over, and keeps them a minute more; a new one, for which all older jobs wait, gives them up as a class at settle_s if other zones are heard. Time in which we did not listen is nobody's silence. Nothing is rented in a quiet zone. A leader that hears no zone resigns after 3 s. A machine on its way that the list has lost goes. A job that has not begun after 170 s gets a machine kept free. Found by the new tests: at a cut's end the first machine heard made the others of its zone look silent at once.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -51,10 +51,25 @@
 pub const LIST_SILENT_MS: Millis = 2_500;
 /// ms since its rental after which every list has a machine, however late lists are.
 pub const LIST_SURE_MS: Millis = 15_000;
-/// Share of the machines that may be silent before silence is held to be our own fault.
+/// Share of the machines outside of cut zones that may be silent before silence is held to be our
+/// own fault.
 pub const SILENT_SHARE: f64 = 0.5;
-/// Machines below which the share above says nothing.
+/// Machines below which neither the share above nor a quiet zone says anything.
 pub const SILENT_LEAST: usize = 3;
+/// Direct calls into a zone that must have ended without an answer since anything was heard of it
+/// before it counts as quiet; two a machine are enough where it has few.
+pub const ZONE_IN_VAIN: u32 = 12;
+/// ms without a word from a zone before it counts as quiet: two lost packets, sent again.
+pub const ZONE_QUIET_MS: Millis = 3_000;
+/// Questions open into a zone that has not answered so many: each holds its place for its whole
+/// timeout, and those that would answer elsewhere wait behind it.
+pub const ZONE_PROBES: usize = 8;
+/// ms for which machines of a quiet zone are kept beyond their lease, without tasks: what a boot and
+/// the least that the cloud charges for a machine come to.
+pub const CUT_KEPT_MS: Millis = 60_000;
+/// ms between two ticks above which we ourselves were away, suspended or standing still: nobody was
+/// listened to meanwhile.
+pub const AWAY_MS: Millis = 2_000;
 /// ms added to a worker's lease before it counts as run out: late answers (4 s) and drift.
 pub const LEASE_MARGIN_MS: Millis = 5_000;
 /// Times its boot time after which a machine that is not up is no longer counted on.
@@ -104,6 +119,9 @@
 /// however often it steps back, people are to see it begin, within four minutes at the latest. The
 /// rest of these is left for a place to come free; sooner, it takes room from jobs in time.
 pub const BEGIN_MS: Millis = 150_000;
+/// ms after that until a machine is kept free for it: where its tasks are larger than the others, places
+/// for one of them never come free by themselves.
+pub const BEGIN_KEEP_MS: Millis = 20_000;
 /// Jobs of the queue that are looked at for one whose image the machine at hand holds: a fetch keeps
 /// room busy for a tenth of a run and more, a few places in the queue are seconds.
 pub const WARM_LOOK: usize = 8;
--- a/crates/latchtrack-core/src/job.rs
+++ b/crates/latchtrack-core/src/job.rs
@@ -233,6 +233,11 @@
         n >= SLOW_LIKE && ran as f64 * f64::from(n) > SLOW_FACTOR * sum as f64
     }
 
+    /// Whether it failed on this machine, and that is held to be the machine's fault.
+    pub fn avoids(&self, machine: &str) -> bool {
+        self.failed_on.contains(machine) && !self.suspect()
+    }
+
     /// Looks for a job that fails everywhere rather than for machines that fail everything: not one
     /// of it is done, and few of its tasks are anywhere but where it has failed.
     pub fn suspect(&self) -> bool {
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -114,11 +114,10 @@
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
             // A machine of the stored set was up before this term; one that does not answer a new
             // leader either is not younger than lists are late but for a moment's bad luck.
-            let silent = match m.unsettled() {
-                true => m.unanswered > 0,
-                false => m.silent_for(now, probe_ms) && now >= m.rented_at + LIST_SURE_MS,
-            };
-            if silent && !names.contains(&*m.name) {
+            let sure = m.unsettled() || now >= m.rented_at + LIST_SURE_MS;
+            // One that is not up yet says nothing of its end either.
+            let silent = m.seems_gone(now, probe_ms) || (!m.up() && !m.unsettled());
+            if sure && silent && !names.contains(&*m.name) {
                 m.leaving = true;
                 self.out.push(Effect::Note(format!("machine {} taken back", m.name)));
             }
@@ -127,11 +126,7 @@
 
     fn watch_list(&mut self, now: Millis) {
         let probe_ms = self.policy.probe_ms();
-        let gone = |m: &Machine| match m.unsettled() {
-            true => m.unanswered > 0,
-            false => m.silent_for(now, probe_ms),
-        };
-        let silent = self.machines.values().any(|m| !m.leaving && gone(m));
+        let silent = self.machines.values().any(|m| !m.leaving && m.seems_gone(now, probe_ms));
         let every = if silent { LIST_SILENT_MS } else { LIST_MS };
         if self.listed_at.is_none_or(|t| now >= t + every) {
             self.listed_at = Some(now);
@@ -141,6 +136,11 @@
 
     pub(super) fn on_tick(&mut self, now: Millis) {
         self.exhausted.retain(|_, until| *until > now);
+        // Out of office for a while, or standing still: the machines spoke, and nobody listened.
+        if now > self.last_tick.saturating_add(AWAY_MS) {
+            self.listening_since = now;
+        }
+        self.last_tick = now;
         self.watch_list(now);
         self.watch_silence(now);
         self.watch_notices();
@@ -163,55 +163,116 @@
         ((boot_s * times * 1000.0) as Millis).saturating_add(BOOT_GRACE_MS)
     }
 
+    /// For how long a machine that should speak has been silent while we listened and its zone was
+    /// not quiet: when a cut ends, one machine is heard before the others.
+    fn silence(&self, now: Millis, m: &Machine) -> Option<Millis> {
+        let back = self.zones.get(&m.zone).map_or(0, |sight| sight.back);
+        let from = self.listening_since.max(back);
+        m.silence(now).map(|s| s.min(now.saturating_sub(from)))
+    }
+
+    /// Finds the zones of which nothing is heard any more, with enough questions unanswered: rather
+    /// a cut between us and them than that many dead machines at once.
+    fn watch_zones(&mut self, now: Millis) {
+        let mut known: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.silence(now).is_some()) {
+            *known.entry(m.zone.clone()).or_default() += 1;
+        }
+        let quiet = |(zone, n): (Arc<str>, u32)| {
+            let sight = self.zones.get(&zone)?;
+            let since = sight.heard.unwrap_or(self.took_over).max(self.listening_since);
+            let asked = sight.in_vain >= ZONE_IN_VAIN.min(UNANSWERED * n);
+            let is = n as usize >= SILENT_LEAST && asked && now >= since + ZONE_QUIET_MS;
+            is.then_some(zone)
+        };
+        let zones = known.len();
+        let quiet: BTreeSet<Arc<str>> = known.into_iter().filter_map(quiet).collect();
+        for zone in quiet.difference(&self.quiet) {
+            self.out.push(Effect::Note(format!("nothing is heard of zone {zone}")));
+        }
+        for zone in self.quiet.difference(&quiet) {
+            self.zones.entry(zone.clone()).or_default().back = now;
+            self.out.push(Effect::Note(format!("zone {zone} is not quiet any more")));
+        }
+        self.quiet = quiet;
+        // A machine heard in this term shows that we were heard once. A new leader that hears none
+        // must not resign: the next would do the same for ever, with nobody to settle them.
+        if zones > 0 && self.quiet.len() == zones && self.machines.values().any(Machine::up) {
+            self.out.push(Effect::Resign("no machine is heard any more"));
+        }
+    }
+
     pub(super) fn watch_silence(&mut self, now: Millis) {
+        self.watch_zones(now);
         let past_lease = self.policy.lease_ms + LEASE_MARGIN_MS;
-        let over = now.saturating_sub(self.took_over) >= past_lease;
-        // Silence is the machine's only if it was asked and did not answer: a node that is late
-        // hears late. Past its lease it has no task left in any case.
-        let limit =
-            |m: &Machine| if m.up() { self.policy.silence_ms } else { self.policy.settle_ms };
-        let silent: Vec<(String, Millis)> = self
-            .machines
-            .values()
-            .filter(|m| !m.leaving)
-            .filter_map(|m| m.silence(now).filter(|s| *s >= limit(m)).map(|s| (m, s)))
-            .filter(|(m, s)| m.unanswered >= UNANSWERED || m.addr.is_none() || *s >= past_lease)
-            .map(|(m, s)| (m.name.to_string(), s))
-            .collect();
-        // Many at once: rather a cut between us and them than that many dead machines. Deleting
-        // them would throw their work away; past its lease a machine has none left.
-        // They fall silent within a report's time of each other, so all that are overdue count.
         let probe_ms = self.policy.probe_ms();
+        // They fall silent within a report's time of each other, so all that are overdue count.
         let (mut known, mut overdue) = (0usize, 0usize);
-        for s in self.machines.values().filter_map(|m| m.silence(now)) {
+        for m in self.machines.values().filter(|m| !self.quiet.contains(&m.zone)) {
+            let Some(s) = self.silence(now, m) else { continue };
             known += 1;
             overdue += usize::from(s >= probe_ms);
         }
-        let cut = known >= SILENT_LEAST && overdue as f64 > known as f64 * SILENT_SHARE;
-        // A machine heard in this term shows that we were heard once. A new leader that hears none
-        // must not resign: the next would do the same for ever, with nobody to settle them.
-        let heard_once = self.machines.values().any(|m| m.up());
-        if cut
-            && heard_once
-            && silent.len() == known
-            && now.saturating_sub(self.took_over) > self.policy.silence_ms + self.policy.settle_ms
-        {
-            self.out.push(Effect::Resign("no machine is heard any more"));
-        }
-        for (name, s) in silent {
-            if cut && s < past_lease {
-                continue;
+        let ours = known >= SILENT_LEAST && overdue as f64 > known as f64 * SILENT_SHARE;
+        // Other zones are heard, so that it is not us.
+        let heard = self.zones.iter().any(|(z, s)| s.heard.is_some() && !self.quiet.contains(z));
+        let mut given_up = Vec::new();
+        for m in self.machines.values().filter(|m| !m.leaving) {
+            let Some(s) = self.silence(now, m) else { continue };
+            let give_up = if !self.quiet.contains(&m.zone) {
+                let limit = if m.up() { self.policy.silence_ms } else { self.policy.settle_ms };
+                // Silence is the machine's only if it was asked and did not answer: a node that is
+                // late hears late. Past its lease it has no task left in any case.
+                let asked = m.unanswered >= UNANSWERED || m.addr.is_none();
+                s >= limit && (asked && !ours || s >= past_lease)
+            } else if m.unsettled() && heard {
+                // All older jobs wait for it, in the zones that are heard too.
+                s >= self.policy.settle_ms
+            } else {
+                // Its work goes on until its lease has run out, and it is there when the cut ends.
+                s >= past_lease + CUT_KEPT_MS
+            };
+            if give_up {
+                given_up.push((m.name.to_string(), s));
             }
+        }
+        for (name, s) in given_up {
             if let Some(m) = self.machines.get_mut(&name) {
                 m.leaving = true;
                 self.out.push(Effect::Note(format!("machine {name} silent for {s} ms, given up")));
             }
         }
-        if over {
+        self.expire(now);
+        if now.saturating_sub(self.took_over) >= past_lease {
             self.outlast(now);
         }
     }
 
+    /// A machine that nobody has answered for its lease and a margin has killed its tasks and moved
+    /// on to the next session, and commands that are still on their way belong to the ended one. The
+    /// tasks may go elsewhere; the machine stays, it may only be cut off.
+    fn expire(&mut self, now: Millis) {
+        let past_lease = self.policy.lease_ms + LEASE_MARGIN_MS;
+        let expired: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| !m.runs.is_empty() && m.silent_for(now, past_lease))
+            .map(|m| m.name.to_string())
+            .collect();
+        for name in expired {
+            let Some(m) = self.machines.get_mut(&name) else { continue };
+            // What comes of the ended session from now on is old news.
+            m.newest = (m.newest.0 + 1, 0);
+            m.empty_since = None;
+            let runs = std::mem::take(&mut m.runs);
+            let n = runs.len();
+            self.out.push(Effect::Note(format!("machine {name}: the lease of {n} runs is over")));
+            for run in runs.values() {
+                self.released(&name, run);
+            }
+        }
+    }
+
     /// Past its lease since the take-over a machine of an earlier leader that never showed our
     /// token holds none of its tasks any more: nobody else can have answered it, and a command that
     /// is still on its way belongs to a session that has ended. It goes back, and holds up nobody.
@@ -261,6 +322,7 @@
 
     pub(super) fn watch_idle(&mut self, now: Millis) {
         let mut back = Vec::new();
+        let probe_ms = self.policy.probe_ms();
         let limits: BTreeMap<String, Millis> = self
             .types
             .iter()
@@ -280,7 +342,9 @@
                     self.out.push(Effect::Note(format!("machine {} never came up", m.name)));
                 }
             }
-            if m.up() && no_runs && !m.leaving {
+            // A silent one is not idle: it may be working, or cut off, and is judged by its silence.
+            let quiet = m.silent_for(now, probe_ms);
+            if m.up() && no_runs && !m.leaving && !quiet {
                 let since = *m.empty_since.get_or_insert(now);
                 let wait = if m.spot {
                     self.policy.idle_wait_ms
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -316,8 +316,9 @@
     shapes: Shapes,
     /// Jobs with waiting tasks, in the order of the last round, and machines whose room it holds.
     queue: Vec<JobId>,
-    /// Jobs that are to begin before that order.
+    /// Jobs that are to begin before that order, and machines kept free for them.
     begin: Vec<JobId>,
+    kept: HashSet<Arc<str>>,
     /// Images that some machine holds, looked up once a second.
     held_images: HashSet<String>,
     images_at: Option<Millis>,
@@ -328,9 +329,27 @@
     /// Direct calls that are open, and whether each only asks.
     calls: HashMap<u64, bool>,
     probes_open: usize,
+    /// What was heard of each zone in this term.
+    zones: BTreeMap<Arc<str>, ZoneSight>,
+    /// Zones of which nothing is heard, at the last tick.
+    quiet: BTreeSet<Arc<str>>,
+    last_tick: Millis,
+    /// Since when we have listened without a pause of our own.
+    listening_since: Millis,
     out: Vec<Effect>,
 }
 
+/// What is heard of a zone.
+#[derive(Clone, Debug, Default)]
+struct ZoneSight {
+    /// When one of its machines was last heard holding our token.
+    heard: Option<Millis>,
+    /// Direct calls into it without an answer since.
+    in_vain: u32,
+    /// When it was last quiet no more.
+    back: Millis,
+}
+
 impl Cluster {
     /// A fresh leader's picture: `inherited` is the stored set of machines, `results` what is stored
     /// of jobs that are open.
@@ -398,6 +417,7 @@
             shapes: Shapes::default(),
             queue: Vec::new(),
             begin: Vec::new(),
+            kept: HashSet::new(),
             held_images: HashSet::new(),
             images_at: None,
             held: HashMap::new(),
@@ -405,6 +425,10 @@
             wake_later: BTreeSet::new(),
             calls: HashMap::new(),
             probes_open: 0,
+            zones: BTreeMap::new(),
+            quiet: BTreeSet::new(),
+            last_tick: now,
+            listening_since: now,
             out: Vec::new(),
         }
     }
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -29,6 +29,9 @@
     }
 }
 
+/// Instead of a shape: held for a job that is to begin, and for no other.
+const KEPT: usize = usize::MAX;
+
 /// What one round found of a shape.
 #[derive(Clone, Copy, Default)]
 struct Found {
@@ -72,7 +75,9 @@
         }
         let t = self.type_of(&m.kind)?;
         let used = m.used()?;
-        if !m.up() && now.saturating_sub(m.rented_at) > self.boot_limit(&m.kind, BOOT_LATE) {
+        // One on its way in a zone that is not heard will not be of use soon.
+        let late = || now.saturating_sub(m.rented_at) > self.boot_limit(&m.kind, BOOT_LATE);
+        if !m.up() && (self.quiet.contains(&m.zone) || late()) {
             return None;
         }
         Some(Room {
@@ -159,7 +164,7 @@
             || spec.one_zone
             || spec.spread
             || !placement::allowed(spec, &room.kind, &room.zone, room.spot)
-            || (!job.suspect() && job.failed_on.contains(machine))
+            || job.avoids(machine)
             || self.policy.teams.iter().any(|t| t.name == spec.team && has_limit(t))
             || (!room.may_hold
                 && !room.images.contains(&spec.image)
@@ -225,7 +230,12 @@
         for id in self.begin.clone() {
             let spec = self.jobs[&id].spec.clone();
             let slice = self.slice_of(&spec).min(self.limit_left(&spec, &round));
-            self.fill_ready(now, id, &spec, slice, &mut round);
+            let since = self.jobs[&id].submitted_at.saturating_add(BEGIN_MS + BEGIN_KEEP_MS);
+            if self.fill_ready(now, id, &spec, slice, &mut round) == 0 && slice > 0 && now >= since
+            {
+                // Kept from all others, until there is room for the slice.
+                self.hold(&spec, KEPT, 1, &mut round);
+            }
         }
         for (_, id) in &order {
             self.place_job(now, *id, &mut round);
@@ -236,8 +246,10 @@
             .map(|(_, id)| id)
             .filter(|id| self.jobs.get(id).is_some_and(|j| j.waiting() > 0))
             .collect();
-        let held = round.rooms.into_iter();
-        self.held = held.filter_map(|r| Some((r.machine?, r.held?))).collect();
+        let held = round.rooms.into_iter().filter_map(|r| Some((r.machine?, r.held?)));
+        let (kept, held): (Vec<_>, Vec<_>) = held.partition(|(_, shape)| *shape == KEPT);
+        self.kept = kept.into_iter().map(|(machine, _)| machine).collect();
+        self.held = held.into_iter().collect();
     }
 
     /// Tasks of a job that start together.
@@ -268,6 +280,9 @@
             room.take(&spec.demand, slice);
             self.assign(now, id, &spec, machine, slice);
         }
+        if self.kept.contains(machine) {
+            return;
+        }
         let mut empty = 0;
         while room.free.cpus > 0.0 {
             let (next, gone) = self.next_here(now, machine, &room);
@@ -503,11 +518,7 @@
             }
             false => Vec::new(),
         };
-        let avoid = |room: &Room| {
-            !job.failed_on.is_empty()
-                && !job.suspect()
-                && room.machine.as_ref().is_some_and(|m| job.failed_on.contains(&**m))
-        };
+        let avoid = |room: &Room| room.machine.as_ref().is_some_and(|m| job.avoids(m));
         // By the slowest of its machines, so that one answer does for all.
         let cold = |r: &Room| !r.images.contains(&spec.image);
         let waits = self.types.iter().any(|t| self.waits_for_image(now, job, &t.name));
@@ -651,7 +662,9 @@
             // A job that may not use spot machines has nothing to wait for.
             let cheapest = o.spot || !spec.spot;
             let wait = if cheapest { policy.spot_after_ms } else { policy.ordinary_after_ms };
-            passed >= wait && self.exhausted.get(o).is_none_or(|until| *until <= now)
+            passed >= wait
+                && self.exhausted.get(o).is_none_or(|until| *until <= now)
+                && !self.quiet.contains(o.zone.as_str())
         }) else {
             return 0;
         };
@@ -681,12 +694,17 @@
 
     /// Keeps the roomiest machines for a job that was passed over too long.
     fn hold(&self, spec: &JobSpec, shape: usize, left: u32, round: &mut Round) {
+        let job = self.jobs.get(&spec.id);
+        let avoid = |r: &Room| r.machine.as_ref().is_some_and(|m| job.is_some_and(|j| j.avoids(m)));
         let mut could: Vec<(usize, u32)> = round
             .rooms
             .iter()
             .enumerate()
             .filter(|(_, r)| {
-                r.ready && r.held.is_none() && placement::allowed(spec, &r.kind, &r.zone, r.spot)
+                r.ready
+                    && r.held.is_none()
+                    && placement::allowed(spec, &r.kind, &r.zone, r.spot)
+                    && !avoid(r)
             })
             .filter_map(|(i, r)| {
                 let per = self.type_of(&r.kind)?.holds(&spec.demand);
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -61,6 +61,8 @@
         let first = m.heard.is_none();
         m.heard = Some(now);
         m.unanswered = 0;
+        let sight = self.zones.entry(m.zone.clone()).or_default();
+        (sight.heard, sight.in_vain) = (Some(now), 0);
         m.addr = Some(r.addr.clone());
         m.notice_at = r.notice_s.map(|s| now.saturating_add((s.max(0.0) * 1000.0) as Millis));
         if first {
@@ -289,8 +291,12 @@
     /// a whole fleet to ask.
     pub(super) fn probe(&mut self, now: Millis) {
         let probe_ms = self.policy.probe_ms();
-        let mut due: Vec<(Millis, String)> = Vec::new();
+        let mut due: Vec<(Millis, String, Arc<str>)> = Vec::new();
+        let mut open: BTreeMap<Arc<str>, usize> = BTreeMap::new();
         for m in self.machines.values() {
+            if m.call.is_some() {
+                *open.entry(m.zone.clone()).or_default() += 1;
+            }
             if m.call.is_some() || m.deleting || m.addr.is_none() || now < m.call_after {
                 continue;
             }
@@ -300,15 +306,21 @@
                 None => false,
             };
             if asks {
-                due.push((m.call_after, m.name.to_string()));
+                due.push((m.call_after, m.name.to_string(), m.zone.clone()));
             }
         }
         // Those asked longest ago first.
         due.sort();
-        for (_, name) in due {
+        for (_, name, zone) in due {
             if self.probes_open >= PROBES_OPEN || self.calls.len() >= self.policy.calls_open {
                 return;
             }
+            let open = open.entry(zone.clone()).or_default();
+            let in_vain = self.zones.get(&zone).map_or(0, |s| s.in_vain);
+            if in_vain >= ZONE_IN_VAIN && *open >= ZONE_PROBES {
+                continue;
+            }
+            *open += 1;
             self.call(&name, Vec::new());
         }
     }
@@ -346,6 +358,9 @@
         }
         m.call = None;
         self.wake.insert(machine.to_string());
+        if matches!(outcome, CallOutcome::NotSent | CallOutcome::Lost) {
+            self.zones.entry(m.zone.clone()).or_default().in_vain += 1;
+        }
         match outcome {
             CallOutcome::Done(r) => {
                 m.unanswered = 0;
--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -234,6 +234,14 @@
         self.heard.is_some_and(|heard| now >= heard + ms)
     }
 
+    /// Whether it should have spoken by now, so that a list without it says that it is gone.
+    pub fn seems_gone(&self, now: Millis, ms: Millis) -> bool {
+        match self.unsettled() {
+            true => self.unanswered > 0,
+            false => self.silent_for(now, ms),
+        }
+    }
+
     /// Whether its tasks run much longer than their like.
     pub fn is_slow(&self) -> bool {
         self.slow >= SLOW_VOTES
--- /dev/null
+++ b/crates/latchtrack-core/tests/zones.rs
@@ -0,0 +1,323 @@
+//! What is made of silence: of single machines, of a zone, of the whole fleet, of our own.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use latchtrack_core::job::{Demand, JobId, JobSpec, Priority};
+use latchtrack_core::leader::*;
+use latchtrack_core::machine::*;
+use latchtrack_core::placement::Weights;
+
+const LEASE: u64 = 24_000;
+/// After which a worker's lease surely has run out.
+const PAST_LEASE: u64 = LEASE + 5_000;
+const PER_ZONE: u64 = 20;
+
+fn policy() -> Policy {
+    Policy {
+        weights: Weights::default(),
+        slice: 1,
+        idle_wait_ms: 20_000,
+        ordinary_idle_wait_ms: 4_000,
+        pass_over_ms: 2_000,
+        spot_after_ms: 0,
+        ordinary_after_ms: 8_000,
+        silence_ms: Policy::silence_default(3_000),
+        settle_ms: 3_500,
+        report_ms: 3_000,
+        lease_ms: LEASE,
+        calls_open: 64,
+        value_bytes: 4_096,
+        teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
+        aims: Vec::new(),
+        prompt: Vec::new(),
+    }
+}
+
+fn zone(i: u64) -> String {
+    ["a", "b", "c"][(i % 3) as usize].into()
+}
+
+fn name(i: u64) -> String {
+    format!("n-{i:06}")
+}
+
+fn index(name: &str) -> u64 {
+    name.strip_prefix("n-").and_then(|t| t.parse().ok()).unwrap()
+}
+
+/// A fleet over three zones, in which some machines neither speak nor answer.
+struct Fleet {
+    c: Cluster,
+    now: u64,
+    seq: u64,
+    session: BTreeMap<u64, u64>,
+    /// Open calls into the silence: when each ends, machine and number.
+    calls: Vec<(u64, String, u64)>,
+    notes: Vec<String>,
+    returned: Vec<u64>,
+    resigned: Vec<&'static str>,
+    hires: Vec<String>,
+    asked: BTreeMap<String, u32>,
+}
+
+impl Fleet {
+    /// A new leader of machines that an earlier one left, each running one task of a job.
+    fn inherited() -> Fleet {
+        let machine = |i| StoredMachine {
+            name: name(i),
+            kind: "g".into(),
+            zone: zone(i),
+            spot: true,
+            addr: name(i),
+        };
+        let machines = Some((0..3 * PER_ZONE).map(machine).collect());
+        let stored = vec![StoredFleet { name: "3-1".into(), stamp: 4, machines }];
+        let types = vec![MachineType {
+            name: "g".into(),
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 32.0,
+            price: 1.0,
+            spot_price: 0.3,
+            boot_s: 10.0,
+            cache_gb: 4.0,
+            fetch_gb_per_s: 0.5,
+            zones: (0..3).map(zone).collect(),
+        }];
+        let stamps = Stamps { token: 7, vacant: 7 };
+        let mut c = Cluster::new(policy(), stamps, types, stored, Vec::new(), 1_000);
+        let tasks = 3 * PER_ZONE as u32;
+        c.handle(1_000, Event::Job { spec: spec(1, tasks), submitted_at: 0, stamp: 3, done: None });
+        Fleet {
+            c,
+            now: 1_000,
+            seq: 0,
+            session: BTreeMap::new(),
+            calls: Vec::new(),
+            notes: Vec::new(),
+            returned: Vec::new(),
+            resigned: Vec::new(),
+            hires: Vec::new(),
+            asked: BTreeMap::new(),
+        }
+    }
+
+    /// The same once all machines are heard.
+    fn settled() -> Fleet {
+        let mut f = Fleet::inherited();
+        f.run(3_000, |_| false);
+        assert_eq!(f.c.summary().unsettled, 0);
+        f
+    }
+
+    fn report(&mut self, i: u64) -> Report {
+        self.seq += 1;
+        let session = *self.session.get(&i).unwrap_or(&1);
+        let runs = self.c.machines().get(&name(i)).map(|m| &m.runs);
+        let known = runs.into_iter().flat_map(|r| r.values());
+        let mut tasks: Vec<TaskReport> = known
+            .map(|r| TaskReport { task: r.task, attempt: r.attempt, phase: Phase::Running })
+            .collect();
+        // What the earlier leader has launched.
+        if tasks.is_empty() && session == 1 {
+            let task = format!("req-000001/{i}").parse().unwrap();
+            tasks.push(TaskReport { task, attempt: 5, phase: Phase::Running });
+        }
+        Report {
+            machine: name(i),
+            addr: name(i),
+            kind: "g".into(),
+            zone: zone(i),
+            spot: true,
+            session,
+            seq: self.seq,
+            token: 7,
+            notice_s: None,
+            tasks,
+        }
+    }
+
+    fn take(&mut self, effects: Vec<Effect>, silent: &impl Fn(u64) -> bool) {
+        for e in effects {
+            match e {
+                Effect::Note(t) => self.notes.push(t),
+                Effect::Resign(why) => self.resigned.push(why),
+                Effect::Return(names) => self.returned.extend(names.iter().map(|n| index(n))),
+                Effect::Hire { offer, .. } => self.hires.push(offer.zone),
+                Effect::Call { machine, call, commands, .. } if silent(index(&machine)) => {
+                    assert!(commands.is_empty(), "a command into the silence");
+                    *self.asked.entry(zone(index(&machine))).or_default() += 1;
+                    self.calls.push((self.now + 2_500, machine, call));
+                }
+                Effect::Call { machine, call, .. } => {
+                    let outcome = CallOutcome::Done(self.report(index(&machine)));
+                    let event = Event::Called { machine, call, outcome };
+                    let effects = self.c.handle(self.now, event);
+                    self.take(effects, silent);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// So many ms, in which the machines that are not silent report every 2 s.
+    fn run(&mut self, ms: u64, silent: impl Fn(u64) -> bool) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 200;
+            let now = self.now;
+            let over: Vec<_> = self.calls.extract_if(.., |(at, ..)| *at <= now).collect();
+            for (_, machine, call) in over {
+                let event = Event::Called { machine, call, outcome: CallOutcome::Lost };
+                let effects = self.c.handle(now, event);
+                self.take(effects, &silent);
+            }
+            for i in (0..3 * PER_ZONE).filter(|i| (now / 200 + i) % 10 == 0 && !silent(*i)) {
+                if self.c.machines().contains_key(&name(i)) {
+                    let r = self.report(i);
+                    let effects = self.c.handle(now, Event::Report(r));
+                    self.take(effects, &silent);
+                }
+            }
+            let effects = self.c.handle(now, Event::Tick);
+            self.take(effects, &silent);
+        }
+    }
+
+    fn runs(&self, i: u64) -> usize {
+        self.c.machines()[&name(i)].runs.len()
+    }
+}
+
+fn spec(id: u64, tasks: u32) -> Arc<JobSpec> {
+    Arc::new(JobSpec {
+        id: JobId(id),
+        class: "c".into(),
+        team: "t".into(),
+        priority: Priority::Normal,
+        tasks,
+        demand: Demand { cpus: 4.0, gpus: 0.0, memory_gb: 4.0 },
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "i".into(),
+        image_gb: 1.0,
+        estimate_s: 20.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    })
+}
+
+fn in_b(i: u64) -> bool {
+    zone(i) == "b"
+}
+
+#[test]
+fn a_quiet_zone_is_cut_off_and_its_machines_are_there_when_the_cut_ends() {
+    let mut f = Fleet::settled();
+    f.run(PAST_LEASE - 2_000, in_b);
+    assert_eq!(f.returned, Vec::<u64>::new(), "nothing is thrown away");
+    assert_eq!(f.runs(1), 1, "its task may be running: it has its place");
+    f.run(8_000, in_b);
+    assert_eq!(f.runs(1), 0, "the lease is over");
+    assert!(f.c.jobs()[&JobId(1)].placed.values().all(|p| !in_b(index(&p.machine))));
+    assert_eq!((f.returned.len(), f.resigned.len()), (0, 0));
+    let needless = f.hires.iter().filter(|z| *z == "b").count();
+    assert_eq!(needless, 0, "rented where nothing is heard: {:?}", f.hires);
+    // Back, in the next session.
+    f.session.extend((0..3 * PER_ZONE).filter(|i| in_b(*i)).map(|i| (i, 2)));
+    f.run(3_000, |_| false);
+    assert_eq!(f.returned, Vec::<u64>::new());
+    assert_eq!(f.c.summary().up, 3 * PER_ZONE as usize);
+    assert!(f.notes.iter().any(|n| n == "zone b is not quiet any more"), "{:?}", f.notes);
+}
+
+/// What was sent before the lease ran out and held back speaks of a session that is over.
+#[test]
+fn a_report_held_back_for_longer_than_the_lease_brings_no_run_back() {
+    let mut f = Fleet::settled();
+    let held = f.report(1);
+    f.run(PAST_LEASE + 4_000, in_b);
+    let effects = f.c.handle(f.now, Event::Report(held));
+    assert!(!effects.iter().any(|e| matches!(e, Effect::Answer(c) if !c.is_empty())));
+    assert_eq!(f.runs(1), 0);
+}
+
+#[test]
+fn a_zone_that_stays_quiet_is_given_up_in_the_end() {
+    let mut f = Fleet::settled();
+    f.run(PAST_LEASE + 70_000, in_b);
+    let mut gone = f.returned.clone();
+    gone.sort_unstable();
+    gone.dedup();
+    assert_eq!(gone, (0..3 * PER_ZONE).filter(|i| in_b(*i)).collect::<Vec<_>>());
+}
+
+/// On the working sites a new leader asked each machine of a cut zone by itself, 96 at a time, or
+/// waited for their lease, by which side of one half they were; all older jobs waited meanwhile.
+#[test]
+fn a_new_leader_gives_up_a_quiet_zone_at_once_and_the_others_go_on() {
+    let mut f = Fleet::inherited();
+    f.run(4_400, in_b);
+    assert_eq!(f.returned.len() as u64, PER_ZONE, "{:?}", f.notes);
+    assert!(f.returned.iter().all(|i| in_b(*i)));
+    assert!(f.asked["b"] <= 24, "asked {} times", f.asked["b"]);
+}
+
+/// With nothing heard of any zone it is rather us.
+#[test]
+fn a_leader_that_hears_no_zone_resigns_and_a_new_one_waits_for_the_lease() {
+    let mut f = Fleet::settled();
+    f.run(12_000, |_| true);
+    assert!(f.resigned.contains(&"no machine is heard any more"));
+    assert_eq!(f.returned, Vec::<u64>::new());
+    let mut f = Fleet::inherited();
+    f.run(LEASE, |_| true);
+    assert_eq!((f.resigned.len(), f.returned.len()), (0, 0));
+}
+
+#[test]
+fn scattered_machines_are_given_up_one_by_one() {
+    let mut f = Fleet::settled();
+    f.run(18_000, |i| i % 4 == 0);
+    f.returned.sort_unstable();
+    assert_eq!(f.returned, (0..3 * PER_ZONE).filter(|i| i % 4 == 0).collect::<Vec<_>>());
+}
+
+/// An outage for longer than the workers' lease: nobody listened, and on the first tick after it
+/// the whole fleet would have been deleted.
+#[test]
+fn a_leader_that_was_away_does_not_take_that_for_the_machines_silence() {
+    let mut f = Fleet::settled();
+    f.now += PAST_LEASE + 20_000;
+    f.session.extend((0..3 * PER_ZONE).map(|i| (i, 2)));
+    f.run(3_000, |_| false);
+    assert_eq!((f.returned.len(), f.resigned.len()), (0, 0), "{:?}", f.notes);
+    assert_eq!(f.c.summary().up, 3 * PER_ZONE as usize);
+}
+
+/// Taken back while it booted, a machine says nothing, and counted as room on its way for four
+/// boot times.
+#[test]
+fn a_machine_that_the_list_lost_before_it_came_up_counts_no_more() {
+    let mut f = Fleet::settled();
+    let listed = |n: u64| Listed {
+        name: name(n),
+        kind: "g".into(),
+        zone: zone(n),
+        spot: true,
+        failed: false,
+        age_ms: 2_000,
+    };
+    let all = |n: u64| Event::Listed((0..n).map(listed).collect());
+    let now = f.now;
+    f.c.handle(now, all(3 * PER_ZONE + 1));
+    f.c.handle(now + 5_000, all(3 * PER_ZONE));
+    assert!(!f.c.machines()[&name(3 * PER_ZONE)].leaving, "lists are late");
+    f.c.handle(now + 14_000, all(3 * PER_ZONE));
+    assert!(f.c.machines()[&name(3 * PER_ZONE)].leaving);
+}
