A class is prompt by its tightest aim, and only if a fetch would miss that

Cause: each wait aim made its class a prompt one, so on the fleet sites, where all classes have one of 70 to 250 s beside, no job was passed for one whose image the machine holds (exception 9), and the aim listed first decided.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -122,6 +122,9 @@
 /// ms after that until a machine is kept free for it: where its tasks are larger than the others, places
 /// for one of them never come free by themselves.
 pub const BEGIN_KEEP_MS: Millis = 20_000;
+/// ms within which the tasks of a class are to start for it to be a prompt one: what the largest image
+/// takes to fetch. An aim above it is met whether a fetch is needed or not.
+pub const PROMPT_MOST_MS: Millis = 10_000;
 /// Jobs of the queue that are looked at for one whose image the machine at hand holds: a fetch keeps
 /// room busy for a tenth of a run and more, a few places in the queue are seconds.
 pub const WARM_LOOK: usize = 8;
--- a/crates/latchtrack-core/tests/zones.rs
+++ b/crates/latchtrack-core/tests/zones.rs
@@ -167,7 +167,9 @@
         while self.now < end {
             self.now += 200;
             let now = self.now;
-            let over: Vec<_> = self.calls.extract_if(.., |(at, ..)| *at <= now).collect();
+            let calls = std::mem::take(&mut self.calls);
+            let (over, open) = calls.into_iter().partition::<Vec<_>, _>(|(at, ..)| *at <= now);
+            self.calls = open;
             for (_, machine, call) in over {
                 let event = Event::Called { machine, call, outcome: CallOutcome::Lost };
                 let effects = self.c.handle(now, event);
--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings: what the platform hands over (JSON) and what operators may tune (YAML).
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -94,10 +95,10 @@
 }
 
 impl Objective {
-    /// Within how many ms the tasks of a class are to start.
-    fn prompt(&self) -> Option<(String, u64)> {
+    /// Within how many ms the tasks of its class are to start, if that is what it says.
+    fn wait_ms(&self) -> Option<u64> {
         let s = self.within_s.filter(|s| self.kind == "wait" && *s > 0.0)?;
-        Some((self.class.clone(), (s * 1000.0) as u64))
+        Some((s * 1000.0) as u64)
     }
 
     fn aim(&self) -> Option<Aim> {
@@ -303,7 +304,7 @@
             lease_ms: ms(self.platform.params.workers.lease_s),
             calls_open: self.calls_open(),
             value_bytes: (self.platform.params.state.value_kb * 1024.0) as usize,
-            prompt: self.platform.params.objectives.iter().filter_map(Objective::prompt).collect(),
+            prompt: self.prompt(),
             aims: self.platform.params.objectives.iter().filter_map(Objective::aim).collect(),
             teams: self
                 .platform
@@ -321,6 +322,18 @@
         }
     }
 
+    /// Classes whose tasks are to start so soon that a fetch of their image would miss it, each by
+    /// its tightest aim; aims of minutes say something else.
+    fn prompt(&self) -> Vec<(String, u64)> {
+        let mut tightest: BTreeMap<&str, u64> = BTreeMap::new();
+        for o in &self.platform.params.objectives {
+            let Some(ms) = o.wait_ms().filter(|ms| *ms <= core::PROMPT_MOST_MS) else { continue };
+            let least = tightest.entry(&o.class).or_insert(ms);
+            *least = ms.min(*least);
+        }
+        tightest.into_iter().map(|(class, ms)| (class.to_string(), ms)).collect()
+    }
+
     /// s of silence after which a machine is given up.
     pub fn silence_s(&self) -> f64 {
         let report_ms = (self.platform.params.workers.report_s * 1000.0) as u64;
@@ -367,6 +380,25 @@
         Settings { platform: serde_json::from_str(SAMPLE).unwrap(), tuning: Tuning::default() }
     }
 
+    /// With a long aim beside the short one, each class of the fleet sites counted as prompt, and
+    /// the aim listed first decided.
+    #[test]
+    fn a_class_is_prompt_by_its_tightest_aim_in_whatever_order() {
+        let aim = |class: &str, s| Objective {
+            kind: "wait".into(),
+            class: class.into(),
+            within_s: Some(s),
+            times: None,
+        };
+        let mut s = sample();
+        let mut aims = vec![aim("u", 70.0), aim("u", 2.0), aim("slow", 180.0), aim("u", 5.0)];
+        for _ in 0..2 {
+            s.platform.params.objectives = aims.clone();
+            assert_eq!(s.policy().prompt, [("u".to_string(), 2_000)]);
+            aims.reverse();
+        }
+    }
+
     #[test]
     fn refuses_by_name() {
         sample().check().unwrap();
