Validity is looked at when an errand runs; full nodes say so at once; resign when only relayed

Cause (read, not measured): errands to the cloud that waited for their turn went out after a standstill, for a term that was over; a look whose answer came after one was given to users; a node at its bound of connections let new ones hang; a leader that workers reach only by way of others stayed in office, its direct calls lost. The leader's lease is shortened where the workers' lease leaves less of cancel_s than its usual 3 s, instead of refusing to start.

--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -200,6 +200,12 @@
         if zones > 0 && self.quiet.len() == zones && self.machines.values().any(Machine::up) {
             self.out.push(Effect::Resign("no machine is heard any more"));
         }
+        // Starts would wait for the next report of each machine; another node can call them.
+        let alone =
+            self.first_hand.max(self.listening_since).saturating_add(self.policy.probe_ms());
+        if self.relayed.is_some_and(|at| at > self.first_hand) && now >= alone {
+            self.out.push(Effect::Resign("machines are heard by way of other nodes only"));
+        }
     }
 
     pub(super) fn watch_silence(&mut self, now: Millis) {
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -215,6 +215,8 @@
     /// A job was cancelled, or called done by an earlier leader.
     Closed(JobId),
     Report(Report),
+    /// The same by way of another node, which its worker could reach.
+    Relayed(Report),
     Called {
         machine: String,
         call: u64,
@@ -333,6 +335,9 @@
     zones: BTreeMap<Arc<str>, ZoneSight>,
     /// Zones of which nothing is heard, at the last tick.
     quiet: BTreeSet<Arc<str>>,
+    /// When a machine last spoke to this node itself, and when by way of another.
+    first_hand: Millis,
+    relayed: Option<Millis>,
     last_tick: Millis,
     /// Since when we have listened without a pause of our own.
     listening_since: Millis,
@@ -427,6 +432,8 @@
             probes_open: 0,
             zones: BTreeMap::new(),
             quiet: BTreeSet::new(),
+            first_hand: now,
+            relayed: None,
             last_tick: now,
             listening_since: now,
             out: Vec::new(),
@@ -511,7 +518,14 @@
                 self.on_job(spec, submitted_at, stamp, done)
             }
             Event::Closed(job) => self.on_closed(now, job),
-            Event::Report(report) => self.on_report(now, &report),
+            Event::Report(report) => {
+                self.first_hand = now;
+                self.on_report(now, &report);
+            }
+            Event::Relayed(report) => {
+                self.relayed = Some(now);
+                self.on_report(now, &report);
+            }
             Event::Called { machine, call, outcome } => {
                 self.on_called(now, &machine, call, outcome)
             }
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -358,8 +358,11 @@
         }
         m.call = None;
         self.wake.insert(machine.to_string());
-        if matches!(outcome, CallOutcome::NotSent | CallOutcome::Lost) {
-            self.zones.entry(m.zone.clone()).or_default().in_vain += 1;
+        match outcome {
+            CallOutcome::Done(_) | CallOutcome::Refused(_) => self.first_hand = now,
+            CallOutcome::NotSent | CallOutcome::Lost => {
+                self.zones.entry(m.zone.clone()).or_default().in_vain += 1;
+            }
         }
         match outcome {
             CallOutcome::Done(r) => {
--- a/crates/latchtrack-core/tests/zones.rs
+++ b/crates/latchtrack-core/tests/zones.rs
@@ -323,3 +323,24 @@
     f.c.handle(now + 14_000, all(3 * PER_ZONE));
     assert!(f.c.machines()[&name(3 * PER_ZONE)].leaving);
 }
+
+/// Day apart of the working sites: the leader lost its workers for a minute, others passed their
+/// reports on, and what was launched waited for the next of these.
+#[test]
+fn a_leader_that_machines_reach_only_by_way_of_others_resigns() {
+    let mut f = Fleet::settled();
+    for _ in 0..20 {
+        f.run(400, |i| i != 0);
+        let r = f.report(3);
+        let effects = f.c.handle(f.now, Event::Relayed(r));
+        f.take(effects, &|i| i != 0);
+    }
+    assert_eq!(f.resigned, Vec::<&str>::new(), "one speaks to it: the others are cut off");
+    for _ in 0..20 {
+        f.run(400, |_| true);
+        let r = f.report(3);
+        let effects = f.c.handle(f.now, Event::Relayed(r));
+        f.take(effects, &|_| true);
+    }
+    assert!(f.resigned.contains(&"machines are heard by way of other nodes only"));
+}
--- a/crates/latchtrack/src/actors/cloud.rs
+++ b/crates/latchtrack/src/actors/cloud.rs
@@ -9,7 +9,7 @@
 use latchtrack_core::placement::Offer;
 
 use super::intake::{Intake, Types};
-use super::leader::{Came, Leader};
+use super::leader::{Came, Leader, Office};
 use super::store::{self, Answered, Ask, Class, Reply, Store};
 use crate::clock::now_ms;
 use crate::constants::*;
@@ -63,6 +63,8 @@
     waking: bool,
     customers: Option<Customers>,
     typed: bool,
+    /// The leader's term and until when it surely stands, as the leader has it.
+    office: Option<(u64, u64)>,
 }
 
 impl Cloud {
@@ -79,6 +81,7 @@
             waking: false,
             customers: None,
             typed: false,
+            office: None,
         }
     }
 
@@ -90,6 +93,7 @@
         self.filled_at = now;
         while self.budget >= 1.0 {
             let Some(errand) = self.queue.pop_front() else { return };
+            let Some(errand) = self.still_good(errand, now, ctx) else { continue };
             self.budget -= 1.0;
             self.run(errand, ctx);
         }
@@ -103,6 +107,33 @@
         }
     }
 
+    /// An errand that waited is carried out only while the term that sent it stands: a node that
+    /// stood still would return machines that its successor uses. None if it was answered for.
+    fn still_good(&self, errand: Errand, now: u64, ctx: &mut Context<Self>) -> Option<Errand> {
+        let of = match &errand {
+            Errand::Types => return Some(errand),
+            Errand::Hire { token, .. }
+            | Errand::Return { token, .. }
+            | Errand::List { token }
+            | Errand::Page { token, .. } => *token,
+        };
+        if self.office.is_some_and(|(token, until)| token == of && now < until) {
+            return Some(errand);
+        }
+        match errand {
+            Errand::Hire { token, hire, .. } => {
+                let outcome = HireOutcome::NotDone;
+                self.tell(token, Event::Hired { hire, outcome }, CLOUD_RETRY_MS, ctx);
+            }
+            Errand::Return { token, names } => {
+                self.tell(token, Event::Returned { names, ok: false }, CLOUD_RETRY_MS, ctx);
+            }
+            // The leader asks for a list again by itself.
+            _ => {}
+        }
+        None
+    }
+
     fn run(&mut self, errand: Errand, ctx: &mut Context<Self>) {
         let client = self.client.clone();
         let base = self.base.clone();
@@ -303,6 +334,13 @@
     }
 }
 
+impl Handler<Office> for Cloud {
+    type Result = ();
+    fn handle(&mut self, msg: Office, _: &mut Self::Context) {
+        self.office = msg.0;
+    }
+}
+
 impl Handler<Errand> for Cloud {
     type Result = ();
     fn handle(&mut self, msg: Errand, ctx: &mut Self::Context) {
--- a/crates/latchtrack/src/actors/job_cache.rs
+++ b/crates/latchtrack/src/actors/job_cache.rs
@@ -202,7 +202,8 @@
                     }
                     act.failed = 0;
                     act.take_in(seen, sent_at);
-                    true
+                    // True of its time, but those who asked have long gone: this node stood still.
+                    now_ms() < started + LOOK_OLD_MS
                 }
                 Err(StoreError::TooOld) => {
                     act.revision = None;
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -50,10 +50,13 @@
     pub leader: Option<String>,
 }
 
-/// A worker's report.
+/// A worker's report, to this node or to another that passed it on.
 #[derive(Message)]
 #[rtype(result = "Answer")]
-pub struct WorkerReport(pub Report);
+pub struct WorkerReport {
+    pub report: Report,
+    pub relayed: bool,
+}
 
 /// Machines that the leader misses; their reports are passed on to it.
 #[derive(Message)]
@@ -563,6 +566,7 @@
             self.want_save = false;
         }
         self.office = msg.0;
+        self.cloud.do_send(Office(msg.0));
         self.build(ctx);
     }
 }
@@ -605,7 +609,7 @@
         if self.office.is_none() {
             let other = self.leader_name.clone().filter(|n| *n != self.node);
             return match other {
-                Some(leader) if self.comes_back(&msg.0.machine) => Answer::Relay(leader),
+                Some(leader) if self.comes_back(&msg.report.machine) => Answer::Relay(leader),
                 other => Answer::Elsewhere(other),
             };
         }
@@ -613,7 +617,11 @@
             return Answer::NotNow;
         }
         let token = self.token();
-        match self.drive(Event::Report(msg.0), ctx) {
+        let event = match msg.relayed {
+            true => Event::Relayed(msg.report),
+            false => Event::Report(msg.report),
+        };
+        match self.drive(event, ctx) {
             Some(commands) => Answer::Orders { token, commands },
             None => Answer::NotNow,
         }
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -7,6 +7,8 @@
 /// renewals, short enough that a crashed leader is followed within seconds: all that people wait
 /// for waits meanwhile.
 pub const LEADER_TTL_MS: u64 = 3_000;
+/// The shortest that works, where the workers' lease leaves no more of the time for a cancellation.
+pub const LEADER_TTL_LEAST_MS: u64 = 1_000;
 /// Part of the lease after which it is renewed.
 pub const RENEW_PART: u64 = 4;
 /// ms taken off the lease's local end: clock drift (0.05%) and the time of acting itself.
@@ -31,6 +33,8 @@
 pub const SYNC_WANTED_MS: u64 = 40;
 /// ms after a failed look.
 pub const SYNC_RETRY_MS: u64 = 250;
+/// ms after which what a look brings is no answer to those who waited for it any more.
+pub const LOOK_OLD_MS: u64 = 4_000;
 /// Polls that may wait for one look; more are refused.
 pub const SYNC_WAITERS: usize = 2_000;
 
@@ -111,8 +115,15 @@
 pub const BODY_BYTES: usize = 64 * 1024;
 /// A request's body, from its first to its last byte; users give up after 5 s.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// Part of the node's sockets that users and workers may fill; the rest is for our own calls.
-pub const SOCKETS_USED: f64 = 0.75;
+/// Part of the node's sockets that users and workers may fill. Of the rest, half is for direct calls of
+/// workers, some thirty for the state service, the cloud and the other nodes, and those being refused.
+pub const SOCKETS_USED: f64 = 0.85;
+/// Connections beyond that which are told so at a time; more wait for one of these to be closed.
+pub const REFUSALS_OPEN: usize = 32;
+/// One such connection, until it has been told.
+pub const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Reading on after that, so that closing does not take the answer back.
+pub const REFUSAL_LINGER: Duration = Duration::from_millis(100);
 /// s an idle connection is kept; users poll every 5 s.
 pub const KEEP_ALIVE_S: u64 = 60;
 /// s a user is asked to wait when the node cannot answer.
--- a/crates/latchtrack/src/http/workers.rs
+++ b/crates/latchtrack/src/http/workers.rs
@@ -13,7 +13,7 @@
         Ok(b) => b,
         Err(answer) => return answer,
     };
-    let answer = judge(&desk, &bytes).await;
+    let answer = judge(&desk, &bytes, false).await;
     // A worker that was sent to the leader and is back can't reach it: its report is passed on, and
     // an answer with the leader's token counts from any node.
     if let Ok(Answer::Relay(leader)) = &answer {
@@ -23,18 +23,18 @@
     say(answer)
 }
 
-/// Answers at this node only.
+/// Answers at this node only what another has passed on.
 pub async fn answer_here(desk: &Desk, bytes: &[u8]) -> HttpResponse {
-    say(judge(desk, bytes).await)
+    say(judge(desk, bytes, true).await)
 }
 
 /// What the leader says to a report, or the refusal of one that is of no use.
-async fn judge(desk: &Desk, bytes: &[u8]) -> Result<Answer, HttpResponse> {
+async fn judge(desk: &Desk, bytes: &[u8], relayed: bool) -> Result<Answer, HttpResponse> {
     let report = parse_report(bytes).map_err(|e| {
         tracing::debug!("a report is of no use: {e}");
         refuse(StatusCode::BAD_REQUEST, &e.to_string())
     })?;
-    Ok(desk.leader.send(WorkerReport(report)).await.unwrap_or(Answer::NotNow))
+    Ok(desk.leader.send(WorkerReport { report, relayed }).await.unwrap_or(Answer::NotNow))
 }
 
 fn say(answer: Result<Answer, HttpResponse>) -> HttpResponse {
--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -163,8 +163,8 @@
     pub silence_s: Option<f64>,
     /// s a new leader waits for a machine of its predecessor.
     pub settle_s: f64,
-    /// s the leader's lease lasts.
-    pub leader_lease_s: f64,
+    /// s the leader's lease lasts; if not set 3, or what the workers' lease leaves of `cancel_s`.
+    pub leader_lease_s: Option<f64>,
 }
 
 impl Default for Tuning {
@@ -181,7 +181,7 @@
             ordinary_after_s: s(core::ORDINARY_AFTER_MS),
             silence_s: None,
             settle_s: s(core::SETTLE_MS),
-            leader_lease_s: s(c::LEADER_TTL_MS),
+            leader_lease_s: None,
         }
     }
 }
@@ -211,6 +211,7 @@
         settings.check()?;
         // So that what is shown is what takes effect.
         settings.tuning.silence_s = Some(settings.silence_s());
+        settings.tuning.leader_lease_s = Some(settings.leader_lease_s());
         Ok(settings)
     }
 
@@ -269,19 +270,19 @@
         let asked_first = p.workers.report_s * core::REPORT_VARIES + core::PROBE_MS as f64 / 1000.0;
         within("silence_s", self.silence_s(), asked_first, 3_600.0)?;
         within("settle_s", t.settle_s, 3.0, 3_600.0)?;
-        within("leader_lease_s", t.leader_lease_s, 1.0, 600.0)?;
-        // A leader that can't see cancellations answers reports for its lease at most, and the
-        // tasks then run for the workers' lease at most.
-        let end = t.leader_lease_s + p.workers.lease_s * 1.001 + 0.5;
-        if end >= p.workers.cancel_s {
-            return bad(
-                "leader_lease_s",
-                format!(
-                    "leader_lease_s and the workers' lease_s end a cancelled task after {end:.1} s, \
-                     params.workers.cancel_s allows {} s",
-                    p.workers.cancel_s
-                ),
+        let lease_s = self.leader_lease_s();
+        within("leader_lease_s", lease_s, c::LEADER_TTL_LEAST_MS as f64 / 1000.0, 600.0)?;
+        let (end, cancel_s) = (lease_s + self.stopped_within_s(), p.workers.cancel_s);
+        if end >= cancel_s {
+            let name = match t.leader_lease_s {
+                Some(_) => "leader_lease_s",
+                None => "params.workers.cancel_s",
+            };
+            let why = format!(
+                "with a leader's lease of {lease_s:.1} s and the workers' lease_s a cancelled task \
+                 may end after {end:.1} s, params.workers.cancel_s allows {cancel_s} s"
             );
+            return bad(name, why);
         }
         Ok(())
     }
@@ -347,8 +348,22 @@
         ((ours / 2.0) as usize).clamp(1, c::CALLS_MOST)
     }
 
+    /// s the leader's lease lasts.
+    pub fn leader_lease_s(&self) -> f64 {
+        let left = self.platform.params.workers.cancel_s - self.stopped_within_s();
+        let [usual, least] = [c::LEADER_TTL_MS, c::LEADER_TTL_LEAST_MS].map(|ms| ms as f64 / 1e3);
+        self.tuning.leader_lease_s.unwrap_or_else(|| usual.min(left * 0.9).max(least))
+    }
+
+    /// s until a task has surely ended after the last report that a leader answered. A leader that
+    /// can't see cancellations answers reports for its lease at most, and the tasks then run for the
+    /// workers' lease at most.
+    fn stopped_within_s(&self) -> f64 {
+        self.platform.params.workers.lease_s * 1.001 + 0.5
+    }
+
     pub fn leader_ttl_ms(&self) -> u64 {
-        (self.tuning.leader_lease_s * 1000.0) as u64
+        (self.leader_lease_s() * 1000.0) as u64
     }
 
     /// Nodes of the service, this one included.
@@ -403,7 +418,7 @@
     fn refuses_by_name() {
         sample().check().unwrap();
         for (from, to, name) in [
-            ("\"cancel_s\":60.0", "\"cancel_s\":33.0", "leader_lease_s"),
+            ("\"cancel_s\":60.0", "\"cancel_s\":31.4", "params.workers.cancel_s"),
             ("\"rps\":100.0", "\"rps\":0.0", "params.state.rps"),
             ("\"txn_ops\":8", "\"txn_ops\":0", "params.state.txn_ops"),
             ("\"max_sockets\":900", "\"max_sockets\":3", "params.machine_limits.max_sockets"),
@@ -413,6 +428,12 @@
             let err = s.check().unwrap_err().to_string();
             assert!(err.starts_with(name), "{err}");
         }
+        let mut s = sample();
+        s.platform.params.workers.cancel_s = 33.0;
+        s.check().unwrap();
+        assert!(s.leader_ttl_ms() < 2_300, "what is left of cancel_s");
+        s.tuning.leader_lease_s = Some(3.0);
+        assert!(s.check().unwrap_err().to_string().starts_with("leader_lease_s"));
         let missing = SAMPLE.replace("\"zones\":[\"a\"],", "");
         let err = serde_json::from_str::<Platform>(&missing).unwrap_err().to_string();
         assert!(err.contains("zones"), "{err}");
