--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -229,11 +229,17 @@
         self.begin = begin.into_iter().map(|(_, id)| id).collect();
         for id in self.begin.clone() {
             let spec = self.jobs[&id].spec.clone();
-            let slice = self.slice_of(&spec).min(self.limit_left(&spec, &round));
+            let slice = self.slice_of(&spec);
+            let most = slice.min(self.limit_left(&spec, &round));
+            if self.fill_ready(now, id, &spec, most, &mut round) > 0 {
+                continue;
+            }
+            // What is missing is kept for it: of its team's limit from the team's other jobs, or a
+            // machine from all others.
             let since = self.jobs[&id].submitted_at.saturating_add(BEGIN_MS + BEGIN_KEEP_MS);
-            if self.fill_ready(now, id, &spec, slice, &mut round) == 0 && slice > 0 && now >= since
-            {
-                // Kept from all others, until there is room for the slice.
+            if most < slice {
+                self.count_use(&spec, slice, &mut round);
+            } else if now >= since {
                 self.hold(&spec, KEPT, 1, &mut round);
             }
         }
@@ -604,12 +610,17 @@
                 self.assign(now, id, spec, &machine, here);
             }
         }
+        self.count_use(spec, placed, round);
+        placed
+    }
+
+    /// Counts tasks against their team's limit.
+    fn count_use(&self, spec: &JobSpec, tasks: u32, round: &mut Round) {
         if self.any_limit() {
             let used = round.used.entry(spec.team.clone()).or_default();
-            used.0 += spec.demand.cpus * f64::from(placed);
-            used.1 += spec.demand.gpus * f64::from(placed);
+            used.0 += spec.demand.cpus * f64::from(tasks);
+            used.1 += spec.demand.gpus * f64::from(tasks);
         }
-        placed
     }
 
     fn assign(&mut self, now: Millis, id: JobId, spec: &Arc<JobSpec>, machine: &str, n: u32) {
