--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -155,7 +155,7 @@
     }
 
     pub(super) fn type_of(&self, kind: &str) -> Option<&MachineType> {
-        self.types.iter().find(|t| t.name == kind)
+        type_named(&self.types, kind)
     }
 
     pub(super) fn boot_limit(&self, kind: &str, times: f64) -> Millis {
@@ -373,6 +373,10 @@
     }
 }
 
+pub(super) fn type_named<'a>(types: &'a [MachineType], kind: &str) -> Option<&'a MachineType> {
+    types.iter().find(|t| t.name == kind)
+}
+
 pub(super) fn new_machine(name: &str, kind: &str, zone: &str, spot: bool, now: Millis) -> Machine {
     Machine {
         name: name.into(),
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -9,7 +9,9 @@
 //!   forgotten in that session.
 
 mod fleet;
+mod order;
 mod placing;
+mod renting;
 mod reports;
 mod saving;
 
@@ -62,7 +64,7 @@
 impl Policy {
     /// The longest time between two reports of a healthy worker.
     fn reports_within(&self) -> Millis {
-        (self.report_ms as f64 * REPORT_VARIES) as Millis
+        reports_within(self.report_ms)
     }
 
     /// Silence after which the other nodes are told of a machine.
@@ -77,10 +79,14 @@
 
     /// Silence after which a machine is given up, unless operators say otherwise.
     pub fn silence_default(report_ms: Millis) -> Millis {
-        ((report_ms as f64 * REPORT_VARIES) as Millis).saturating_add(PROBE_MS + ASKED_MS)
+        reports_within(report_ms).saturating_add(PROBE_MS + ASKED_MS)
     }
 }
 
+fn reports_within(report_ms: Millis) -> Millis {
+    (report_ms as f64 * REPORT_VARIES) as Millis
+}
+
 /// How soon the jobs of a class should be complete.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Aim {
@@ -316,7 +322,7 @@
     fleet: Packs<String>,
     results: Packs<(JobId, u32)>,
     shapes: Shapes,
-    /// Jobs with waiting tasks, in the order of the last round, and machines whose room it holds.
+    /// Jobs with waiting tasks, in the order of the last round.
     queue: Vec<JobId>,
     /// Jobs that are to begin before that order, and machines kept free for them.
     begin: Vec<JobId>,
@@ -324,6 +330,7 @@
     /// Images that some machine holds, looked up once a second.
     held_images: HashSet<String>,
     images_at: Option<Millis>,
+    /// Machines whose room the last round holds for jobs of a shape.
     held: HashMap<Arc<str>, usize>,
     /// Machines for which there may be something to send now, or at the next tick.
     wake: BTreeSet<String>,
--- /dev/null
+++ b/crates/latchtrack-core/src/leader/order.rs
@@ -0,0 +1,130 @@
+//! The queue: in which order jobs are placed.
+
+use super::placing::has_limit;
+use super::*;
+
+impl Cluster {
+    /// The jobs with waiting tasks that may be placed now, the first to be placed first.
+    pub(super) fn order(&self, now: Millis, total: &Demand, unsettled: bool) -> Vec<JobId> {
+        let guaranteed = self.guaranteed_jobs();
+        let mut order: Vec<(Rank, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !(unsettled && self.waits_for_settling(j)) && j.pause_until <= now)
+            .filter_map(|(id, j)| {
+                let waiting = j.waiting();
+                (waiting > 0).then(|| {
+                    let d = &j.spec.demand;
+                    let demand = placement::job_demand(d, waiting, total, &self.policy.weights);
+                    let (tier, due) = self.due(now, j);
+                    let rank = Rank {
+                        guaranteed: u8::from(!guaranteed.contains(id)),
+                        tier,
+                        due,
+                        minus_demand: -demand,
+                    };
+                    (rank, *id)
+                })
+            })
+            .collect();
+        let by_rank = |a: &(Rank, JobId), b: &(Rank, JobId)| {
+            a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)
+        };
+        order.sort_by(by_rank);
+        self.step_back(now, &mut order, total);
+        order.sort_by(by_rank);
+        order.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Whether a job may not start anything while a machine is unsettled: an earlier leader may
+    /// have launched its tasks, or its team's limit depends on what runs there.
+    fn waits_for_settling(&self, job: &Job) -> bool {
+        job.inherited || self.policy.teams.iter().any(|t| t.name == job.spec.team && has_limit(t))
+    }
+
+    /// Jobs that fit into their team's guarantee together with the team's earlier ones.
+    fn guaranteed_jobs(&self) -> HashSet<JobId> {
+        let mut out = HashSet::new();
+        for team in self.policy.teams.iter().filter(|t| t.cpus > 0.0 || t.gpus > 0.0) {
+            let mut mine: Vec<&Job> =
+                self.jobs.values().filter(|j| j.spec.team == team.name).collect();
+            mine.sort_by_key(|j| (j.submitted_at, j.spec.id));
+            let (mut cpus, mut gpus) = (0.0, 0.0);
+            for job in mine {
+                let n = f64::from(job.spec.tasks - job.done.ones());
+                cpus += job.spec.demand.cpus * n;
+                gpus += job.spec.demand.gpus * n;
+                if cpus > team.cpus + 1e-6 || gpus > team.gpus + 1e-6 {
+                    break;
+                }
+                out.insert(job.spec.id);
+            }
+        }
+        out
+    }
+
+    /// In which tier of the queue a job stands, and when it is due on the local clock: jobs with
+    /// a deadline of their own first, then those whose class has an aim, each by the next that
+    /// can still be met; then the others; last those that have missed theirs, which can no longer
+    /// be late but would make others so.
+    fn due(&self, now: Millis, job: &Job) -> (Tier, Millis) {
+        let own = job.spec.deadline_s.map(|d| (d * 1000.0) as Millis);
+        let aims = self.policy.aims.iter().filter(|a| a.class == job.spec.class);
+        let mut dues: Vec<Millis> = aims
+            .filter_map(|a| match a.due {
+                Due::Within(ms) => Some(ms),
+                Due::Times(t) => own.map(|d| (d as f64 * t) as Millis),
+            })
+            .chain(own)
+            .collect();
+        if dues.is_empty() {
+            return (Tier::Regular, 0);
+        }
+        dues.retain(|ms| job.submitted_at.saturating_add(*ms) > now);
+        match dues.iter().min() {
+            Some(ms) if own.is_some() => (Tier::Deadline, job.submitted_at.saturating_add(*ms)),
+            Some(ms) => (Tier::Aim, job.submitted_at.saturating_add(*ms)),
+            None => (Tier::Missed, 0),
+        }
+    }
+
+    /// The jobs that step back because not all can be in time: see [`placement::set_aside`].
+    fn step_back(&self, now: Millis, order: &mut [(Rank, JobId)], total: &Demand) {
+        let cpu_ms = |spec: &JobSpec, n: f64| spec.demand.cpus * n * spec.estimate_s * 1000.0;
+        // What runs now takes its room for half its estimate more, on average.
+        let running: f64 = self
+            .machines
+            .values()
+            .flat_map(|m| m.runs.values())
+            .filter(|r| r.live())
+            .filter_map(|r| r.spec.as_ref().map(|s| cpu_ms(s, 0.5)))
+            .sum();
+        let deadlines: f64 = order
+            .iter()
+            .filter(|(rank, _)| rank.tier == Tier::Deadline)
+            .filter_map(|(_, id)| self.jobs.get(id))
+            .map(|job| cpu_ms(&job.spec, f64::from(job.waiting())))
+            .sum();
+        let aims = || order.iter().enumerate().filter(|(_, (rank, _))| rank.tier == Tier::Aim);
+        let queue: Vec<placement::Asked> = aims()
+            .filter_map(|(_, (rank, id))| {
+                let job = self.jobs.get(id)?;
+                Some(placement::Asked {
+                    left_ms: rank.due.saturating_sub(now) as f64,
+                    run_ms: job.spec.estimate_s * 1000.0,
+                    work: cpu_ms(&job.spec, f64::from(job.waiting())),
+                })
+            })
+            .collect();
+        let places: Vec<usize> = aims().map(|(i, _)| i).collect();
+        let aside = placement::set_aside(&queue, running + deadlines, total.cpus);
+        for ((place, aside), asked) in places.into_iter().zip(aside).zip(queue) {
+            if aside {
+                let rank = &mut order[place].0;
+                rank.tier = Tier::Aside;
+                // Among themselves the least work first: that still brings the most in.
+                rank.due = asked.work as Millis;
+            }
+        }
+    }
+}
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -1,5 +1,6 @@
 //! One round of placing: the queue, the rooms, the rentals.
 
+use super::renting::{fill_promised, promised};
 use super::*;
 
 /// What makes two jobs alike for placing: decided once, as a class, in each round.
@@ -34,25 +35,25 @@
 
 /// What one round found of a shape.
 #[derive(Clone, Copy, Default)]
-struct Found {
+pub(super) struct Found {
     /// No ready room, no promised room, nothing to rent; room is held for it.
-    no_ready: bool,
-    no_promise: bool,
-    no_offer: bool,
-    held: bool,
+    pub no_ready: bool,
+    pub no_promise: bool,
+    pub no_offer: bool,
+    pub held: bool,
     /// Waiting tasks of the jobs not yet looked at.
-    to_come: u32,
+    pub to_come: u32,
 }
 
 /// What one round of placing carries from job to job.
-struct Round {
-    rooms: Vec<Room>,
-    total: Demand,
-    shapes: Vec<Found>,
+pub(super) struct Round {
+    pub rooms: Vec<Room>,
+    pub total: Demand,
+    pub shapes: Vec<Found>,
     /// CPUs and GPUs in use of teams that have a limit.
-    used: BTreeMap<String, (f64, f64)>,
+    pub used: BTreeMap<String, (f64, f64)>,
     /// A run of unknown size and team is somewhere.
-    unknown_runs: bool,
+    pub unknown_runs: bool,
 }
 
 impl Cluster {
@@ -157,6 +158,11 @@
             && (spec.image_gb / speed * 1000.0) > (until - now) as f64
     }
 
+    /// The same for machines of any type: by the slowest, so that one answer does for all.
+    fn waits_on_any_type(&self, now: Millis, job: &Job) -> bool {
+        self.types.iter().any(|t| self.waits_for_image(now, job, &t.name))
+    }
+
     /// How many tasks of a job may go into this room, if that depends on nothing else.
     fn fits_here(&self, now: Millis, job: &Job, machine: &str, room: &Room) -> u32 {
         let spec = &job.spec;
@@ -188,41 +194,14 @@
         let shapes = vec![Found::default(); self.shapes.0.len()];
         let mut round = Round { rooms, total, shapes, used, unknown_runs };
         let unsettled = !self.garbled.is_empty() || self.machines.values().any(Machine::unsettled);
-        let guaranteed = self.guaranteed_jobs();
-        let mut order: Vec<(Rank, JobId)> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| !(unsettled && self.waits_for_settling(j)) && j.pause_until <= now)
-            .filter_map(|(id, j)| {
-                let waiting = j.waiting();
-                (waiting > 0).then(|| {
-                    let d = &j.spec.demand;
-                    let demand =
-                        placement::job_demand(d, waiting, &round.total, &self.policy.weights);
-                    let (tier, due) = self.due(now, j);
-                    let rank = Rank {
-                        guaranteed: u8::from(!guaranteed.contains(id)),
-                        tier,
-                        due,
-                        minus_demand: -demand,
-                    };
-                    (rank, *id)
-                })
-            })
-            .collect();
-        let by_rank = |a: &(Rank, JobId), b: &(Rank, JobId)| {
-            a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)
-        };
-        order.sort_by(by_rank);
-        self.step_back(now, &mut order, &round.total);
-        order.sort_by(by_rank);
-        for job in order.iter().filter_map(|(_, id)| self.jobs.get(id)) {
+        let order = self.order(now, &round.total, unsettled);
+        for job in order.iter().filter_map(|id| self.jobs.get(id)) {
             round.shapes[job.shape].to_come += job.waiting();
         }
         // The oldest first.
         let mut begin: Vec<(Millis, JobId)> = order
             .iter()
-            .filter_map(|(_, id)| Some((self.jobs.get(id)?.submitted_at, *id)))
+            .filter_map(|id| Some((self.jobs.get(id)?.submitted_at, *id)))
             .filter(|(at, id)| now >= at.saturating_add(BEGIN_MS) && self.jobs[id].untouched())
             .collect();
         begin.sort();
@@ -243,13 +222,12 @@
                 self.hold(&spec, KEPT, 1, &mut round);
             }
         }
-        for (_, id) in &order {
+        for id in &order {
             self.place_job(now, *id, &mut round);
         }
         // What single reports free until the next round goes to these, in this order.
         self.queue = order
             .into_iter()
-            .map(|(_, id)| id)
             .filter(|id| self.jobs.get(id).is_some_and(|j| j.waiting() > 0))
             .collect();
         let held = round.rooms.into_iter().filter_map(|r| Some((r.machine?, r.held?)));
@@ -347,35 +325,8 @@
         self.policy.prompt.iter().find(|(class, _)| *class == spec.class).map(|(_, ms)| *ms)
     }
 
-    /// Whether a job may not start anything while a machine is unsettled: an earlier leader may
-    /// have launched its tasks, or its team's limit depends on what runs there.
-    fn waits_for_settling(&self, job: &Job) -> bool {
-        job.inherited || self.policy.teams.iter().any(|t| t.name == job.spec.team && has_limit(t))
-    }
-
-    /// Jobs that fit into their team's guarantee together with the team's earlier ones.
-    fn guaranteed_jobs(&self) -> HashSet<JobId> {
-        let mut out = HashSet::new();
-        for team in self.policy.teams.iter().filter(|t| t.cpus > 0.0 || t.gpus > 0.0) {
-            let mut mine: Vec<&Job> =
-                self.jobs.values().filter(|j| j.spec.team == team.name).collect();
-            mine.sort_by_key(|j| (j.submitted_at, j.spec.id));
-            let (mut cpus, mut gpus) = (0.0, 0.0);
-            for job in mine {
-                let n = f64::from(job.spec.tasks - job.done.ones());
-                cpus += job.spec.demand.cpus * n;
-                gpus += job.spec.demand.gpus * n;
-                if cpus > team.cpus + 1e-6 || gpus > team.gpus + 1e-6 {
-                    break;
-                }
-                out.insert(job.spec.id);
-            }
-        }
-        out
-    }
-
     /// How many more tasks the team's limit allows.
-    fn limit_left(&self, spec: &JobSpec, round: &Round) -> u32 {
+    pub(super) fn limit_left(&self, spec: &JobSpec, round: &Round) -> u32 {
         let Some(team) = self.policy.teams.iter().find(|t| t.name == spec.team) else { return 0 };
         if !has_limit(team) {
             return u32::MAX;
@@ -388,71 +339,6 @@
         fits(&spec.demand, left(team.cpus_max, cpus), left(team.gpus_max, gpus), f64::INFINITY)
     }
 
-    /// In which tier of the queue a job stands, and when it is due on the local clock: jobs with
-    /// a deadline of their own first, then those whose class has an aim, each by the next that
-    /// can still be met; then the others; last those that have missed theirs, which can no longer
-    /// be late but would make others so.
-    fn due(&self, now: Millis, job: &Job) -> (Tier, Millis) {
-        let own = job.spec.deadline_s.map(|d| (d * 1000.0) as Millis);
-        let aims = self.policy.aims.iter().filter(|a| a.class == job.spec.class);
-        let mut dues: Vec<Millis> = aims
-            .filter_map(|a| match a.due {
-                Due::Within(ms) => Some(ms),
-                Due::Times(t) => own.map(|d| (d as f64 * t) as Millis),
-            })
-            .chain(own)
-            .collect();
-        if dues.is_empty() {
-            return (Tier::Regular, 0);
-        }
-        dues.retain(|ms| job.submitted_at.saturating_add(*ms) > now);
-        match dues.iter().min() {
-            Some(ms) if own.is_some() => (Tier::Deadline, job.submitted_at.saturating_add(*ms)),
-            Some(ms) => (Tier::Aim, job.submitted_at.saturating_add(*ms)),
-            None => (Tier::Missed, 0),
-        }
-    }
-
-    /// The jobs that step back because not all can be in time: see [`placement::set_aside`].
-    fn step_back(&self, now: Millis, order: &mut [(Rank, JobId)], total: &Demand) {
-        let cpu_ms = |spec: &JobSpec, n: f64| spec.demand.cpus * n * spec.estimate_s * 1000.0;
-        // What runs now takes its room for half its estimate more, on average.
-        let running: f64 = self
-            .machines
-            .values()
-            .flat_map(|m| m.runs.values())
-            .filter(|r| r.live())
-            .filter_map(|r| r.spec.as_ref().map(|s| cpu_ms(s, 0.5)))
-            .sum();
-        let deadlines: f64 = order
-            .iter()
-            .filter(|(rank, _)| rank.tier == Tier::Deadline)
-            .filter_map(|(_, id)| self.jobs.get(id))
-            .map(|job| cpu_ms(&job.spec, f64::from(job.waiting())))
-            .sum();
-        let aims = || order.iter().enumerate().filter(|(_, (rank, _))| rank.tier == Tier::Aim);
-        let queue: Vec<placement::Asked> = aims()
-            .filter_map(|(_, (rank, id))| {
-                let job = self.jobs.get(id)?;
-                Some(placement::Asked {
-                    left_ms: rank.due.saturating_sub(now) as f64,
-                    run_ms: job.spec.estimate_s * 1000.0,
-                    work: cpu_ms(&job.spec, f64::from(job.waiting())),
-                })
-            })
-            .collect();
-        let places: Vec<usize> = aims().map(|(i, _)| i).collect();
-        let aside = placement::set_aside(&queue, running + deadlines, total.cpus);
-        for ((place, aside), asked) in places.into_iter().zip(aside).zip(queue) {
-            if aside {
-                let rank = &mut order[place].0;
-                rank.tier = Tier::Aside;
-                // Among themselves the least work first: that still brings the most in.
-                rank.due = asked.work as Millis;
-            }
-        }
-    }
-
     fn place_job(&mut self, now: Millis, id: JobId, round: &mut Round) {
         let Some(job) = self.jobs.get(&id) else { return };
         let (spec, shape) = (job.spec.clone(), job.shape);
@@ -476,7 +362,7 @@
         }
         let passed = now.saturating_sub(*job.passed_since.get_or_insert(now));
         let job = &self.jobs[&id];
-        if self.types.iter().any(|t| self.waits_for_image(now, job, &t.name)) {
+        if self.waits_on_any_type(now, job) {
             // It passed over room, which others of its shape may take; a second is soon over.
             return;
         }
@@ -525,9 +411,8 @@
             false => Vec::new(),
         };
         let avoid = |room: &Room| room.machine.as_ref().is_some_and(|m| job.avoids(m));
-        // By the slowest of its machines, so that one answer does for all.
         let cold = |r: &Room| !r.images.contains(&spec.image);
-        let waits = self.types.iter().any(|t| self.waits_for_image(now, job, &t.name));
+        let waits = self.waits_on_any_type(now, job);
         let weights = self.policy.weights;
         let mut keyed: Vec<((bool, f64, bool, f64), usize)> = round
             .rooms
@@ -654,55 +539,6 @@
         self.wake.insert(machine.to_string());
     }
 
-    /// Rents the first choice that is not known to be exhausted; returns for how many tasks.
-    fn rent(
-        &mut self,
-        now: Millis,
-        spec: &JobSpec,
-        shape: usize,
-        left: u32,
-        passed: Millis,
-        round: &mut Round,
-    ) -> u32 {
-        if self.hires.len() >= OPEN_HIRES {
-            return 0;
-        }
-        let offers = placement::offers(spec, &self.types, self.rotate);
-        let policy = &self.policy;
-        let Some(offer) = offers.into_iter().find(|o| {
-            // A job that may not use spot machines has nothing to wait for.
-            let cheapest = o.spot || !spec.spot;
-            let wait = if cheapest { policy.spot_after_ms } else { policy.ordinary_after_ms };
-            passed >= wait
-                && self.exhausted.get(o).is_none_or(|until| *until <= now)
-                && !self.quiet.contains(o.zone.as_str())
-        }) else {
-            return 0;
-        };
-        let Some(t) = self.type_of(&offer.kind).cloned() else { return 0 };
-        let per_machine = t.holds(&spec.demand).max(1);
-        // Like tasks are decided as a class: one call for all of this shape, not one a job. Team
-        // limits are left to each job.
-        let alike = match self.limit_left(spec, round) {
-            u32::MAX => round.shapes[shape].to_come,
-            _ => 0,
-        };
-        let number = left.saturating_add(alike).div_ceil(per_machine).min(HIRE_MOST);
-        self.next_hire += 1;
-        self.rotate = self.rotate.wrapping_add(1);
-        let hire = format!("h-{}-{}", self.token, self.next_hire);
-        for _ in 0..number {
-            round.rooms.push(promised(&offer, &t));
-        }
-        self.hires.insert(hire.clone(), Hire { offer: offer.clone(), number });
-        self.out.push(Effect::Hire { hire, offer, number });
-        // What is left of the new machines is promised room for other shapes.
-        for found in &mut round.shapes {
-            found.no_promise = false;
-        }
-        fill_promised(spec, left, round)
-    }
-
     /// Keeps the roomiest machines for a job that was passed over too long.
     fn hold(&self, spec: &JobSpec, shape: usize, left: u32, round: &mut Round) {
         let job = self.jobs.get(&spec.id);
@@ -737,38 +573,6 @@
     }
 }
 
-/// The room of a machine that is being rented.
-fn promised(offer: &Offer, t: &MachineType) -> Room {
-    Room {
-        machine: None,
-        kind: offer.kind.as_str().into(),
-        zone: offer.zone.as_str().into(),
-        spot: offer.spot,
-        size: t.cpus,
-        images: Arc::default(),
-        may_hold: false,
-        free: Demand { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb },
-        ready: false,
-        held: None,
-    }
-}
-
-fn has_limit(team: &Team) -> bool {
+pub(super) fn has_limit(team: &Team) -> bool {
     team.cpus_max > 0.0 || team.gpus_max > 0.0
 }
-
-/// Counts waiting tasks against machines that will be up; returns for how many there is room.
-fn fill_promised(spec: &JobSpec, want: u32, round: &mut Round) -> u32 {
-    let mut left = want;
-    for room in round.rooms.iter_mut().filter(|r| !r.ready) {
-        if left == 0 {
-            break;
-        }
-        if placement::allowed(spec, &room.kind, &room.zone, room.spot) {
-            let n = room.holds(&spec.demand).min(left);
-            room.take(&spec.demand, n);
-            left -= n;
-        }
-    }
-    want - left
-}
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -3,6 +3,7 @@
 use std::collections::btree_map::Entry;
 use std::collections::HashSet;
 
+use super::fleet::type_named;
 use super::*;
 
 impl Cluster {
@@ -126,8 +127,7 @@
             run.running_since.get_or_insert(now);
             if let Some(spec) = &run.spec {
                 if !m.images.is_last_used(&spec.image) {
-                    let cache_gb =
-                        self.types.iter().find(|t| *t.name == *m.kind).map_or(0.0, |t| t.cache_gb);
+                    let cache_gb = type_named(&self.types, &m.kind).map_or(0.0, |t| t.cache_gb);
                     Arc::make_mut(&mut m.images).used(&spec.image, spec.image_gb, cache_gb);
                 }
             }
--- a/crates/latchtrack-core/src/packs.rs
+++ b/crates/latchtrack-core/src/packs.rs
@@ -15,7 +15,7 @@
     pub name: String,
     /// The stamp that it must have, 0 for none; None: drop it whatever it is.
     pub expect: Option<u64>,
-    /// None is a drop.
+    /// Without any it is a drop.
     pub entries: Vec<K>,
 }
 
--- /dev/null
+++ b/crates/latchtrack-core/tests/world/cloud.rs
@@ -0,0 +1,54 @@
+//! The cloud.
+
+use super::*;
+
+impl World {
+    pub(super) fn rent(&mut self, hire: &str, offer: &Offer, number: u32) -> HireOutcome {
+        if self.now < self.cloud_down_until {
+            return HireOutcome::NotDone;
+        }
+        if let Some(names) = self.hires.get(hire) {
+            return HireOutcome::Machines(names.clone());
+        }
+        let have = self
+            .workers
+            .values()
+            .filter(|w| w.kind == offer.kind && w.zone == offer.zone && w.spot == offer.spot)
+            .count();
+        let free = self.size.capacity.saturating_sub(have).min(number as usize);
+        if free == 0 {
+            return HireOutcome::NoCapacity;
+        }
+        let mut names = Vec::new();
+        for _ in 0..free {
+            self.next_machine += 1;
+            let name = format!("n-{:06}", self.next_machine);
+            let never = self.chance(0.03);
+            let boot = self.rng.random_range(500..9_000);
+            let worker = Worker {
+                kind: if offer.kind == "small" { "small" } else { "large" },
+                zone: ZONES.iter().find(|z| **z == offer.zone).unwrap_or(&ZONES[0]),
+                spot: offer.spot,
+                up_at: if never { u64::MAX / 4 } else { self.now + boot },
+                alive: true,
+                session: 0,
+                seq: 0,
+                token: 0,
+                lease_from: 0,
+                tasks: BTreeMap::new(),
+                node: self.rng.random_range(0..self.size.nodes),
+                flying: None,
+                next_report: 0,
+                cut_until: 0,
+                deaf_until: 0,
+                hang_until: 0,
+                sick: false,
+                done_here: BTreeSet::new(),
+            };
+            self.workers.insert(name.clone(), worker);
+            names.push(name);
+        }
+        self.hires.insert(hire.into(), names.clone());
+        HireOutcome::Machines(names)
+    }
+}
--- /dev/null
+++ b/crates/latchtrack-core/tests/world/workers.rs
@@ -0,0 +1,222 @@
+//! The workers, and the referee of what starts on them.
+
+use super::*;
+
+impl World {
+    pub(super) fn report(&self, name: &str) -> Option<Report> {
+        let w = self.workers.get(name)?;
+        Some(Report {
+            machine: name.into(),
+            addr: name.into(),
+            kind: w.kind.into(),
+            zone: w.zone.into(),
+            spot: w.spot,
+            session: w.session,
+            seq: w.seq,
+            token: w.token,
+            notice_s: None,
+            tasks: w
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| TaskReport {
+                    task: *task,
+                    attempt: *attempt,
+                    phase: t.phase,
+                })
+                .collect(),
+        })
+    }
+
+    pub(super) fn step_workers(&mut self) {
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        let up = |w: &&Worker| w.alive && w.up_at <= self.now;
+        self.most_up = self.most_up.max(self.workers.values().filter(up).count());
+        for name in names {
+            let now = self.now;
+            let Some(w) = self.workers.get_mut(&name) else { continue };
+            if !w.alive || now < w.up_at || (now < w.hang_until && w.session == 0) {
+                continue;
+            }
+            if w.session == 0 {
+                w.session = 1;
+                w.lease_from = now;
+            }
+            // A steady clock that is slow: the worst case.
+            if now > w.lease_from + LEASE + LEASE / 2_000 {
+                w.session += 1;
+                w.tasks.clear();
+                w.lease_from = now;
+                w.flying = None;
+            }
+            // One that hangs may go on within its lease; later it begins the next session first.
+            if now < w.hang_until {
+                continue;
+            }
+            self.run_tasks(&name);
+            let Some(w) = self.workers.get_mut(&name) else { continue };
+            if w.flying.is_some_and(|(sent, _)| now > sent + 4_000) {
+                w.flying = None;
+                w.node = (w.node + 1) % self.size.nodes;
+                w.next_report = now + 1_000;
+            }
+            if w.flying.is_none() && now >= w.next_report {
+                w.seq += 1;
+                self.next_id += 1;
+                let id = self.next_id;
+                w.flying = Some((now, id));
+                w.next_report = now + self.size.report;
+                let (node, cut) = (w.node, now < w.cut_until);
+                let Some(report) = self.report(&name) else { continue };
+                let held = if cut { 1.0 } else { 0.01 };
+                let delay = match self.apart(&name, node) {
+                    // Held back to the end of the cut.
+                    Some(until) => until - now + self.rng.random_range(1..500),
+                    None => self.delay(held),
+                };
+                if self.now < self.size.troubled && self.chance(self.size.copies) {
+                    // A copy that comes late, to whichever node, up to well over a lease.
+                    let delay = self.rng.random_range(2_000..3 * LEASE);
+                    let (worker, report) = (name.clone(), report.clone());
+                    let node = self.rng.random_range(0..self.size.nodes);
+                    self.post(delay, Msg::Report { node, worker, report, id: 0, sent: now });
+                }
+                if !(cut && self.chance(0.5)) {
+                    let msg = Msg::Report { node, worker: name, report, id, sent: now };
+                    self.post(delay, msg);
+                }
+            }
+        }
+    }
+
+    pub(super) fn run_tasks(&mut self, name: &str) {
+        let now = self.now;
+        let Some(w) = self.workers.get(name) else { return };
+        let due: Vec<(TaskId, u64)> =
+            w.tasks.iter().filter(|(_, t)| t.until <= now).map(|(k, _)| *k).collect();
+        for key in due {
+            let Some(w) = self.workers.get(name) else { return };
+            let phase = w.tasks[&key].phase;
+            let most = if self.rng.random_bool(0.15) { 45_000 } else { 15_000 };
+            let run = self.rng.random_range(1_500..most);
+            let mistaken = self.jobs.get(&key.0.job).is_some_and(|j| j.mistaken);
+            let next = match phase {
+                Phase::Fetching if w.done_here.contains(&key.0) => {
+                    (Phase::Ended(Cause::Done), u64::MAX)
+                }
+                Phase::Fetching => {
+                    self.check_start(name, key.0);
+                    (Phase::Running, now + run)
+                }
+                Phase::Running if w.sick || mistaken => (Phase::Ended(Cause::Error), u64::MAX),
+                Phase::Running => {
+                    self.completed.insert(key.0);
+                    if let Some(w) = self.workers.get_mut(name) {
+                        w.done_here.insert(key.0);
+                    }
+                    (Phase::Ended(Cause::Done), u64::MAX)
+                }
+                Phase::Saving => (Phase::Ended(Cause::Stopped), u64::MAX),
+                _ => continue,
+            };
+            if let Some(t) = self.workers.get_mut(name).and_then(|w| w.tasks.get_mut(&key)) {
+                (t.phase, t.until) = next;
+            }
+            // A change is reported soon.
+            if let Some(w) = self.workers.get_mut(name) {
+                w.next_report = w.next_report.min(now + 500);
+            }
+        }
+    }
+
+    /// The referee sees a task start.
+    pub(super) fn check_start(&mut self, name: &str, task: TaskId) {
+        let now = self.now;
+        let Some(j) = self.jobs.get_mut(&task.job) else { return };
+        j.begun.get_or_insert(now);
+        let spec = j.spec.clone();
+        let on = |t: &WTask| matches!(t.phase, Phase::Running | Phase::Saving);
+        let mut zones = Vec::new();
+        let mut used = 0.0;
+        let mut bad = Vec::new();
+        for (other, w) in &self.workers {
+            for ((t, _), state) in w.tasks.iter().filter(|(_, t)| on(t)) {
+                if *t == task && other != name {
+                    bad.push(("ran_twice", format!("{task} on {other} and {name}")));
+                } else if t.job == task.job && *t != task {
+                    zones.push(w.zone);
+                }
+                let team = self.jobs.get(&t.job).map(|j| (j.spec.team.clone(), &j.spec.demand));
+                if team.as_ref().is_some_and(|(n, _)| *n == spec.team) {
+                    used += team.map_or(0.0, |(_, d)| d.cpus);
+                }
+                let _ = state;
+            }
+        }
+        let w = &self.workers[name];
+        if !rules::may_start(&spec, w.kind, w.zone, w.spot, zones.into_iter()) {
+            bad.push(("wrong_place", format!("{task} on {name}")));
+        }
+        if spec.team == "limited" && !rules::within_limit(used, spec.demand.cpus, self.size.limit) {
+            bad.push(("quota", format!("{task}: {used} in use")));
+        }
+        for (rule, what) in bad {
+            self.violate(rule, what);
+        }
+    }
+
+    pub(super) fn execute(&mut self, name: &str, commands: &[Command]) {
+        let now = self.now;
+        for c in commands {
+            let fetch = self.rng.random_range(0..2_000);
+            let Some(w) = self.workers.get_mut(name) else { return };
+            match *c {
+                Command::Launch { task, attempt } => {
+                    if w.tasks.contains_key(&(task, attempt)) {
+                        continue;
+                    }
+                    let busy = w
+                        .tasks
+                        .iter()
+                        .any(|((t, _), s)| *t == task && !matches!(s.phase, Phase::Ended(_)));
+                    let room = types().iter().find(|t| t.name == w.kind).map_or(0.0, |t| t.cpus)
+                        - w.tasks
+                            .iter()
+                            .filter(|(_, s)| !matches!(s.phase, Phase::Ended(_)))
+                            .map(|((t, _), _)| self.jobs[&t.job].spec.demand.cpus)
+                            .sum::<f64>();
+                    let phase = if busy {
+                        Phase::Ended(Cause::Busy)
+                    } else if room + 1e-6 < self.jobs[&task.job].spec.demand.cpus {
+                        Phase::Ended(Cause::NoRoom)
+                    } else {
+                        Phase::Fetching
+                    };
+                    w.tasks.insert((task, attempt), WTask { phase, until: now + fetch });
+                }
+                Command::Stop { task, attempt, grace_s } => {
+                    let spec = self.jobs.get(&task.job).map(|j| j.spec.clone());
+                    let Some(t) = w.tasks.get_mut(&(task, attempt)) else { continue };
+                    let saves = spec.is_some_and(|s| s.checkpoint_s > 0.0 && grace_s >= s.save_s);
+                    match t.phase {
+                        Phase::Running if saves => {
+                            t.phase = Phase::Saving;
+                            t.until = now + 1_000;
+                        }
+                        Phase::Ended(_) => {}
+                        Phase::Saving if grace_s > 0.0 => {}
+                        _ => t.phase = Phase::Ended(Cause::Stopped),
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    if w.tasks
+                        .get(&(task, attempt))
+                        .is_some_and(|t| matches!(t.phase, Phase::Ended(_)))
+                    {
+                        w.tasks.remove(&(task, attempt));
+                    }
+                }
+            }
+            w.next_report = w.next_report.min(now + 500);
+        }
+    }
+}
