--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -201,9 +201,8 @@
             self.out.push(Effect::Resign("no machine is heard any more"));
         }
         // Starts would wait for the next report of each machine; another node can call them.
-        let alone =
-            self.first_hand.max(self.listening_since).saturating_add(self.policy.probe_ms());
-        if self.relayed.is_some_and(|at| at > self.first_hand) && now >= alone {
+        let since = self.relayed_since.map(|at| at.max(self.listening_since));
+        if since.is_some_and(|at| now >= at.saturating_add(self.policy.probe_ms())) {
             self.out.push(Effect::Resign("machines are heard by way of other nodes only"));
         }
     }
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -342,9 +342,8 @@
     zones: BTreeMap<Arc<str>, ZoneSight>,
     /// Zones of which nothing is heard, at the last tick.
     quiet: BTreeSet<Arc<str>>,
-    /// When a machine last spoke to this node itself, and when by way of another.
-    first_hand: Millis,
-    relayed: Option<Millis>,
+    /// Since when machines have spoken by way of other nodes, and none to this one itself.
+    relayed_since: Option<Millis>,
     last_tick: Millis,
     /// Since when we have listened without a pause of our own.
     listening_since: Millis,
@@ -439,8 +438,7 @@
             probes_open: 0,
             zones: BTreeMap::new(),
             quiet: BTreeSet::new(),
-            first_hand: now,
-            relayed: None,
+            relayed_since: None,
             last_tick: now,
             listening_since: now,
             out: Vec::new(),
@@ -526,11 +524,11 @@
             }
             Event::Closed(job) => self.on_closed(now, job),
             Event::Report(report) => {
-                self.first_hand = now;
+                self.relayed_since = None;
                 self.on_report(now, &report);
             }
             Event::Relayed(report) => {
-                self.relayed = Some(now);
+                self.relayed_since.get_or_insert(now);
                 self.on_report(now, &report);
             }
             Event::Called { machine, call, outcome } => {
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -359,7 +359,7 @@
         m.call = None;
         self.wake.insert(machine.to_string());
         match outcome {
-            CallOutcome::Done(_) | CallOutcome::Refused(_) => self.first_hand = now,
+            CallOutcome::Done(_) | CallOutcome::Refused(_) => self.relayed_since = None,
             CallOutcome::NotSent | CallOutcome::Lost => {
                 self.zones.entry(m.zone.clone()).or_default().in_vain += 1;
             }
--- a/crates/latchtrack-core/tests/zones.rs
+++ b/crates/latchtrack-core/tests/zones.rs
@@ -336,6 +336,13 @@
         f.take(effects, &|i| i != 0);
     }
     assert_eq!(f.resigned, Vec::<&str>::new(), "one speaks to it: the others are cut off");
+    // Recorded day inc-16b6: nobody had spoken for a minute, then one by way of another node.
+    f.now += 60_000;
+    let r = f.report(3);
+    let effects = f.c.handle(f.now, Event::Relayed(r));
+    f.take(effects, &|_| false);
+    f.run(2_000, |_| false);
+    assert_eq!(f.resigned, Vec::<&str>::new(), "one report by way of another says nothing");
     for _ in 0..20 {
         f.run(400, |_| true);
         let r = f.report(3);
