Lists are sure by the cloud's own delay; check shows what is derived; sites of all sizes start

A machine on its way that the list lacks is now taken for gone, so the age at which a list must have it follows list_lag_s instead of a fixed 15 s. check prints the connections served, the direct calls and the prompt classes that follow from the settings.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -49,8 +49,9 @@
 pub const LIST_MS: Millis = 20_000;
 /// The same while machines are silent: one that the list no longer has was taken back.
 pub const LIST_SILENT_MS: Millis = 2_500;
-/// ms since its rental after which every list has a machine, however late lists are.
-pub const LIST_SURE_MS: Millis = 15_000;
+/// ms beyond twice the lists' own delay since its rental after which every list has a machine: the
+/// pages of one, each in its turn, and what the rental's answer took.
+pub const LIST_MARGIN_MS: Millis = 9_000;
 /// Share of the machines outside of cut zones that may be silent before silence is held to be our
 /// own fault.
 pub const SILENT_SHARE: f64 = 0.5;
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -110,11 +110,11 @@
     /// nothing; the delete that this leads to does, and costs nothing if the machine is gone.
     fn miss(&mut self, now: Millis, listed: &[Listed]) {
         let names: HashSet<&str> = listed.iter().map(|l| l.name.as_str()).collect();
-        let probe_ms = self.policy.probe_ms();
+        let (probe_ms, sure_ms) = (self.policy.probe_ms(), self.policy.list_sure_ms());
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
             // A machine of the stored set was up before this term; one that does not answer a new
             // leader either is not younger than lists are late but for a moment's bad luck.
-            let sure = m.unsettled() || now >= m.rented_at + LIST_SURE_MS;
+            let sure = m.unsettled() || now >= m.rented_at.saturating_add(sure_ms);
             // One that is not up yet says nothing of its end either.
             let silent = m.seems_gone(now, probe_ms) || (!m.up() && !m.unsettled());
             if sure && silent && !names.contains(&*m.name) {
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -50,6 +50,8 @@
     pub report_ms: Millis,
     /// The workers' lease.
     pub lease_ms: Millis,
+    /// How late the cloud's lists are; at times it is twice that.
+    pub list_lag_ms: Millis,
     /// Direct calls open at once, commands and questions together.
     pub calls_open: usize,
     /// Bytes of one stored value.
@@ -77,6 +79,11 @@
         self.reports_within().saturating_add(PROBE_MS)
     }
 
+    /// Age at which a machine is in every list, however late that is.
+    fn list_sure_ms(&self) -> Millis {
+        self.list_lag_ms.saturating_mul(2).saturating_add(LIST_MARGIN_MS)
+    }
+
     /// Silence after which a machine is given up, unless operators say otherwise.
     pub fn silence_default(report_ms: Millis) -> Millis {
         reports_within(report_ms).saturating_add(PROBE_MS + ASKED_MS)
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -23,6 +23,7 @@
         settle_ms: 9_000,
         report_ms: 3_000,
         lease_ms: LEASE,
+        list_lag_ms: 3_000,
         calls_open: 64,
         value_bytes: 4_096,
         teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
--- a/crates/latchtrack-core/tests/world/nodes.rs
+++ b/crates/latchtrack-core/tests/world/nodes.rs
@@ -106,6 +106,7 @@
             silence_ms: Policy::silence_default(self.size.report).max(6_000),
             settle_ms: 4_000,
             report_ms: self.size.report,
+            list_lag_ms: 1_500,
             lease_ms: if self.broken == Broken::ShortLease { 0 } else { LEASE },
             calls_open: 16.max(self.size.capacity),
             value_bytes: if self.size.capacity > 10 { 4_096 } else { 300 },
--- a/crates/latchtrack/src/main.rs
+++ b/crates/latchtrack/src/main.rs
@@ -1,5 +1,6 @@
 //! The command.
 
+use std::collections::BTreeMap;
 use std::process::ExitCode;
 
 use clap::Parser;
@@ -26,7 +27,9 @@
 }
 
 fn check(files: &Files) -> Result<(), Box<dyn std::error::Error>> {
-    print!("{}", serde_yaml_ng::to_string(&load(files)?)?);
+    let settings = load(files)?;
+    print!("{}", serde_yaml_ng::to_string(&settings)?);
+    print!("{}", serde_yaml_ng::to_string(&BTreeMap::from([("derived", settings.derived())]))?);
     Ok(())
 }
 
--- a/crates/latchtrack/src/node.rs
+++ b/crates/latchtrack/src/node.rs
@@ -10,7 +10,6 @@
 use crate::actors::leader::{ElectionAt, Leader};
 use crate::actors::peers::{Peers, Receive};
 use crate::actors::store::Store;
-use crate::constants::SOCKETS_USED;
 use crate::http::{server, Desk};
 use crate::settings::Settings;
 
@@ -43,9 +42,8 @@
     leader.do_send(ElectionAt(election.clone()));
     cache.do_send(Listeners { election, leader: leader.clone() });
     cloud.do_send(Customers { intake: intake.clone(), leader: leader.clone() });
-    let sockets = settings.platform.params.limits.max_sockets as f64 * SOCKETS_USED;
     let alone = settings.platform.peers.is_empty();
     let desk = Desk { cache, intake, leader, peers: peers.clone(), alone };
     peers.do_send(Receive(desk.clone()));
-    server::serve(users, desk, sockets as usize).await;
+    server::serve(users, desk, settings.connections()).await;
 }
--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -193,6 +193,17 @@
     pub tuning: Tuning,
 }
 
+/// What follows from both files, for `check` to show.
+#[derive(Debug, Serialize)]
+pub struct Derived {
+    /// Connections of users and workers that are served at once; more get 503.
+    pub connections: usize,
+    /// Direct calls of workers open at once.
+    pub direct_calls: usize,
+    /// ms within which the tasks of a class are to start, where a fetch of their image would miss it.
+    pub prompt_ms: BTreeMap<String, u64>,
+}
+
 impl Settings {
     /// Reads and checks both files.
     pub fn load(config: &Path, operator: Option<&Path>) -> Result<Settings, BadSettings> {
@@ -303,6 +314,7 @@
             report_ms: ms(self.platform.params.workers.report_s),
             settle_ms: ms(t.settle_s),
             lease_ms: ms(self.platform.params.workers.lease_s),
+            list_lag_ms: ms(self.platform.params.cloud.list_lag_s),
             calls_open: self.calls_open(),
             value_bytes: (self.platform.params.state.value_kb * 1024.0) as usize,
             prompt: self.prompt(),
@@ -362,6 +374,20 @@
         self.platform.params.workers.lease_s * 1.001 + 0.5
     }
 
+    /// Connections of users and workers that are served at once.
+    pub fn connections(&self) -> usize {
+        (self.platform.params.limits.max_sockets as f64 * c::SOCKETS_USED) as usize
+    }
+
+    /// What follows from the settings.
+    pub fn derived(&self) -> Derived {
+        Derived {
+            connections: self.connections(),
+            direct_calls: self.calls_open(),
+            prompt_ms: self.prompt().into_iter().collect(),
+        }
+    }
+
     pub fn leader_ttl_ms(&self) -> u64 {
         (self.leader_lease_s() * 1000.0) as u64
     }
@@ -414,6 +440,28 @@
         }
     }
 
+    #[test]
+    fn sites_of_all_sizes_start() {
+        for nodes in 1..=7 {
+            for (report_s, lease_s) in [(0.5, 5.0), (3.0, 24.0), (8.0, 45.0), (30.0, 300.0)] {
+                let mut s = sample();
+                let p = &mut s.platform;
+                let peer = |i| Peer { node_name: format!("n{i}"), addr: p.peer_bind };
+                p.peers = (1..nodes).map(peer).collect();
+                p.params.zones = (0..nodes).map(|i| format!("z{i}")).collect();
+                let w = &mut p.params.workers;
+                (w.report_s, w.lease_s, w.cancel_s) = (report_s, lease_s, lease_s * 1.001 + 1.7);
+                s.check().unwrap();
+                assert!(s.silence_s() > report_s * 1.25, "{report_s}");
+                let d = s.derived();
+                // What we open ourselves: calls, state service, cloud, refusals, both ways to each
+                // node, what listens.
+                let ours = d.direct_calls + c::STORE_OPEN + 8 + c::REFUSALS_OPEN + 2 * nodes + 2;
+                assert!(d.connections + ours <= s.platform.params.limits.max_sockets);
+            }
+        }
+    }
+
     #[test]
     fn refuses_by_name() {
         sample().check().unwrap();
