--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -319,6 +319,7 @@
     next_call: u64,
     took_over: Millis,
     last_plan: Option<Millis>,
+    rounds: u64,
     replan: bool,
     rotate: usize,
     listed_at: Option<Millis>,
@@ -425,6 +426,7 @@
             next_call: 0,
             took_over: now,
             last_plan: None,
+            rounds: 0,
             replan: true,
             rotate: token as usize,
             listed_at: None,
@@ -518,6 +520,11 @@
         &self.machines
     }
 
+    /// Rounds of placing in this term, for checks.
+    pub fn rounds(&self) -> u64 {
+        self.rounds
+    }
+
     /// The unfinished jobs, for checks.
     pub fn jobs(&self) -> &BTreeMap<JobId, Job> {
         &self.jobs
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -183,6 +183,7 @@
 
     pub(super) fn plan(&mut self, now: Millis) {
         self.last_plan = Some(now);
+        self.rounds += 1;
         self.replan = false;
         if self.images_at.is_none_or(|at| now >= at + ROUND_IDLE_MS) {
             self.images_at = Some(now);
--- a/crates/latchtrack-core/tests/simulation.rs
+++ b/crates/latchtrack-core/tests/simulation.rs
@@ -172,6 +172,16 @@
         // One to start a task on an idle machine, one to ask each machine in each term.
         let most = tasks + world.terms * world.most_up as u64;
         assert!(world.calls < most, "{} calls, {most} at most", world.calls);
+        // One a step at most, however many reports come in it; of a leader, and of one that does
+        // not know yet that it is none any more.
+        let most = 2 * size.end / size.step;
+        assert!(world.rounds < most, "{} rounds, {most} at most", world.rounds);
+        // The picture holds what is there: machines of at most eight CPUs with the runs on them and
+        // a few that have ended, and the open jobs.
+        let most = 12 * world.most_up;
+        assert!(world.most_runs < most, "{} runs, {most} at most", world.most_runs);
+        let (jobs, open) = world.most_jobs;
+        assert!(jobs <= open + 50, "{jobs} jobs in the picture, {open} open");
     }
     assert!(terms > 5, "{terms} terms");
 }
--- a/crates/latchtrack-core/tests/world/nodes.rs
+++ b/crates/latchtrack-core/tests/world/nodes.rs
@@ -179,7 +179,17 @@
         let now = self.clock(n);
         let node = &mut self.nodes[n];
         let (run, token) = (node.run, node.token);
-        let effects = node.cluster.as_mut()?.handle(now, event);
+        let cluster = node.cluster.as_mut()?;
+        let rounds = cluster.rounds();
+        let ticks = matches!(event, Event::Tick);
+        let effects = cluster.handle(now, event);
+        self.rounds += cluster.rounds() - rounds;
+        if ticks {
+            let runs = cluster.machines().values().map(|m| m.runs.len()).sum();
+            self.most_runs = self.most_runs.max(runs);
+            let open = self.jobs.values().filter(|j| matches!(j.state, State::Open { .. })).count();
+            self.most_jobs = self.most_jobs.max((cluster.jobs().len(), open));
+        }
         let mut answer = None;
         for effect in effects {
             match effect {
