--- a/crates/latchtrack/tests/faces.rs
+++ b/crates/latchtrack/tests/faces.rs
@@ -422,3 +422,51 @@
     odd["cores"] = json!(9.0);
     assert_eq!(post(&format!("{two}/api/jobs"), &odd).await.0, 422, "it knows what fits");
 }
+
+/// Found in review: errands that waited for their turn at the cloud went out after a standstill, for
+/// a term that was over, and returned machines that the next leader used.
+#[actix_web::test]
+async fn errands_of_a_term_that_is_over_are_not_run() {
+    use actix::Actor;
+    use latchtrack::actors::cloud::{Cloud, Customers, Errand};
+    use latchtrack::actors::intake::Intake;
+    use latchtrack::actors::job_cache::JobCache;
+    use latchtrack::actors::leader::{Leader, Office};
+    use latchtrack::actors::peers::Peers;
+    use latchtrack::actors::store::Store;
+    use latchtrack::clock::now_ms;
+    let site = site();
+    let [users, listener] = [bound().await, bound().await];
+    let settings = site.settings("one", 0, &users, &listener, &[]);
+    let store = Store::new(&settings).start();
+    let cache = JobCache::new(store.clone()).start();
+    let peers = Peers::new(&settings, listener, cache.clone()).start();
+    let cloud = Cloud::new(store.clone(), &settings).start();
+    let intake = Intake::new(store.clone(), cache.clone(), &settings).start();
+    let leader = Leader::new(store, cache, cloud.clone(), peers, &settings).start();
+    cloud.do_send(Customers { intake, leader });
+    let back = |token, name: &str| Errand::Return { token, names: vec![name.into()] };
+    let later = now_ms() + 600_000;
+    cloud.do_send(Office(Some((7, later))));
+    cloud.do_send(back(7, "n-000001"));
+    cloud.do_send(Office(Some((7, now_ms()))));
+    cloud.do_send(back(7, "n-000002"));
+    cloud.do_send(Office(None));
+    cloud.do_send(back(7, "n-000003"));
+    cloud.do_send(Office(Some((9, later))));
+    cloud.do_send(back(7, "n-000004"));
+    cloud.do_send(back(9, "n-000005"));
+    for _ in 0..600 {
+        let deleted = site.sky.lock().unwrap().deleted.clone();
+        if deleted.iter().any(|n| n == "n-000005") && deleted.iter().any(|n| n == "n-000001") {
+            assert_eq!(deleted.len(), 2, "{deleted:?}");
+            return;
+        }
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    panic!("not run: {:?}", site.sky.lock().unwrap().deleted);
+}
+
+async fn bound() -> tokio::net::TcpListener {
+    tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap()
+}
--- a/crates/latchtrack/tests/standins/mod.rs
+++ b/crates/latchtrack/tests/standins/mod.rs
@@ -326,6 +326,20 @@
     ) -> String {
         let users = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let at = format!("http://{}", users.local_addr().unwrap());
+        let settings = self.settings(name, door, &users, &peers, others);
+        actix_web::rt::spawn(node::serve(settings, users, peers));
+        at
+    }
+
+    /// The settings of a node that listens there.
+    pub fn settings(
+        &self,
+        name: &str,
+        door: usize,
+        users: &TcpListener,
+        peers: &TcpListener,
+        others: &[(&str, &String)],
+    ) -> Settings {
         let others: Vec<Value> = others
             .iter()
             .map(|(name, at)| json!({"node_name": name, "domain": "a", "endpoint": at}))
@@ -347,8 +361,7 @@
         .unwrap();
         let settings = Settings { platform, tuning: Tuning::default() };
         settings.check().unwrap();
-        actix_web::rt::spawn(node::serve(settings, users, peers));
-        at
+        settings
     }
 }
 
