Small cases share their policy, job and names; planned troubles stand with the others

The zones' tests had copies of what scenarios.rs has: now in tests/common. The planned roll asked whether another was planned and how many terms there were, which no run can make matter.

--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -1,37 +1,16 @@
 //! Failures that were found, each as a small case of its own.
 
+mod common;
+
 use std::sync::Arc;
 
-use latchtrack_core::job::{Demand, JobId, JobSpec, Priority};
+use common::*;
+use latchtrack_core::job::{Demand, JobId, JobSpec};
 use latchtrack_core::leader::*;
 use latchtrack_core::machine::*;
-use latchtrack_core::placement::Weights;
 
-const LEASE: u64 = 24_000;
 const STAMPS: Stamps = Stamps { token: 7, vacant: 7 };
 
-fn policy() -> Policy {
-    Policy {
-        weights: Weights::default(),
-        slice: 1,
-        idle_wait_ms: 20_000,
-        ordinary_idle_wait_ms: 4_000,
-        pass_over_ms: 2_000,
-        spot_after_ms: 0,
-        ordinary_after_ms: 10_000,
-        silence_ms: 12_000,
-        settle_ms: 9_000,
-        report_ms: 3_000,
-        lease_ms: LEASE,
-        list_lag_ms: 3_000,
-        calls_open: 64,
-        value_bytes: 4_096,
-        teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
-        aims: Vec::new(),
-        prompt: Vec::new(),
-    }
-}
-
 fn types() -> Vec<MachineType> {
     vec![MachineType {
         name: "g".into(),
@@ -47,10 +26,6 @@
     }]
 }
 
-fn name(i: u64) -> String {
-    format!("n-{i:06}")
-}
-
 /// The stored set of so many machines, in one value.
 fn stored(which: std::ops::Range<u64>) -> Vec<StoredFleet> {
     let machine = |i| StoredMachine {
@@ -79,28 +54,6 @@
     }
 }
 
-fn spec(id: u64, tasks: u32) -> Arc<JobSpec> {
-    Arc::new(JobSpec {
-        id: JobId(id),
-        class: "c".into(),
-        team: "t".into(),
-        priority: Priority::Normal,
-        tasks,
-        demand: Demand { cpus: 4.0, gpus: 0.0, memory_gb: 4.0 },
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        image: "i".into(),
-        image_gb: 1.0,
-        estimate_s: 20.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    })
-}
-
 fn returned(effects: &[Effect]) -> Vec<String> {
     effects
         .iter()
--- a/crates/latchtrack-core/tests/world/mod.rs
+++ b/crates/latchtrack-core/tests/world/mod.rs
@@ -417,48 +417,6 @@
         self
     }
 
-    fn begin_planned(&mut self) {
-        let due: Vec<Planned> =
-            self.plan.iter().filter(|(at, _)| *at <= self.now).map(|(_, p)| *p).collect();
-        self.plan.retain(|(at, _)| *at > self.now);
-        let (now, nodes) = (self.now, self.size.nodes);
-        let leader = self.leader.map_or(0, |(n, ..)| n);
-        for trouble in due {
-            match trouble {
-                Planned::CrashAll => (0..nodes).for_each(|n| self.crash(n)),
-                Planned::Roll(gap) => {
-                    self.crash(leader);
-                    if nodes > 1 && gap > 0 {
-                        // The leader of the time, as often as there are nodes.
-                        let left = self.plan.iter().filter(|(_, p)| matches!(p, Planned::Roll(_)));
-                        if left.count() == 0 && self.terms < 40 {
-                            let more = (1..nodes as u64).map(|i| (now + i * gap, Planned::Roll(0)));
-                            self.plan.extend(more);
-                        }
-                    }
-                }
-                Planned::StoreDown(ms) => self.store_down_until = now + ms,
-                Planned::FreezeLeader(ms) => self.nodes[leader].paused_until = now + ms,
-                Planned::FreezeFollower(ms) => {
-                    self.nodes[(leader + 1) % nodes].paused_until = now + ms;
-                }
-                Planned::CutLeaders(ms) => self.zone_cut = Some((Self::zone_of(leader), now + ms)),
-                Planned::CutOther(ms) => {
-                    self.zone_cut = Some((Self::zone_of(leader + 1), now + ms));
-                }
-                Planned::Hang(share, ms) => {
-                    for name in self.workers.keys().cloned().collect::<Vec<_>>() {
-                        if self.rng.random_bool(share) {
-                            if let Some(w) = self.workers.get_mut(&name) {
-                                w.hang_until = now + ms;
-                            }
-                        }
-                    }
-                }
-            }
-        }
-    }
-
     /// The zone of a node.
     fn zone_of(n: usize) -> &'static str {
         ZONES[n % ZONES.len()]
--- a/crates/latchtrack-core/tests/world/users.rs
+++ b/crates/latchtrack-core/tests/world/users.rs
@@ -3,6 +3,45 @@
 use super::*;
 
 impl World {
+    pub(super) fn begin_planned(&mut self) {
+        let due: Vec<Planned> =
+            self.plan.iter().filter(|(at, _)| *at <= self.now).map(|(_, p)| *p).collect();
+        self.plan.retain(|(at, _)| *at > self.now);
+        let (now, nodes) = (self.now, self.size.nodes);
+        let leader = self.leader.map_or(0, |(n, ..)| n);
+        for trouble in due {
+            match trouble {
+                Planned::CrashAll => (0..nodes).for_each(|n| self.crash(n)),
+                Planned::Roll(gap) => {
+                    self.crash(leader);
+                    // The leader of the time, as often as there are nodes.
+                    if gap > 0 {
+                        let more = (1..nodes as u64).map(|i| (now + i * gap, Planned::Roll(0)));
+                        self.plan.extend(more);
+                    }
+                }
+                Planned::StoreDown(ms) => self.store_down_until = now + ms,
+                Planned::FreezeLeader(ms) => self.nodes[leader].paused_until = now + ms,
+                Planned::FreezeFollower(ms) => {
+                    self.nodes[(leader + 1) % nodes].paused_until = now + ms;
+                }
+                Planned::CutLeaders(ms) => self.zone_cut = Some((Self::zone_of(leader), now + ms)),
+                Planned::CutOther(ms) => {
+                    self.zone_cut = Some((Self::zone_of(leader + 1), now + ms));
+                }
+                Planned::Hang(share, ms) => {
+                    for name in self.workers.keys().cloned().collect::<Vec<_>>() {
+                        if self.rng.random_bool(share) {
+                            if let Some(w) = self.workers.get_mut(&name) {
+                                w.hang_until = now + ms;
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
     pub(super) fn trouble(&mut self) {
         if !self.chance(self.size.troubles) {
             return;
--- a/crates/latchtrack-core/tests/zones.rs
+++ b/crates/latchtrack-core/tests/zones.rs
@@ -1,37 +1,25 @@
 //! What is made of silence: of single machines, of a zone, of the whole fleet, of our own.
 
+mod common;
+
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
-use latchtrack_core::job::{Demand, JobId, JobSpec, Priority};
+use common::*;
+use latchtrack_core::job::JobId;
 use latchtrack_core::leader::*;
 use latchtrack_core::machine::*;
-use latchtrack_core::placement::Weights;
 
-const LEASE: u64 = 24_000;
 /// After which a worker's lease surely has run out.
 const PAST_LEASE: u64 = LEASE + 5_000;
 const PER_ZONE: u64 = 100;
 
-fn policy() -> Policy {
+/// What a node would make of its settings.
+fn settings() -> Policy {
     Policy {
-        weights: Weights::default(),
-        slice: 1,
-        idle_wait_ms: 20_000,
-        ordinary_idle_wait_ms: 4_000,
-        pass_over_ms: 2_000,
-        spot_after_ms: 0,
         ordinary_after_ms: 8_000,
         silence_ms: Policy::silence_default(3_000),
         settle_ms: 3_500,
-        report_ms: 3_000,
-        lease_ms: LEASE,
-        list_lag_ms: 3_000,
-        calls_open: 64,
-        value_bytes: 4_096,
-        teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
-        aims: Vec::new(),
-        prompt: Vec::new(),
+        ..policy()
     }
 }
 
@@ -39,10 +27,6 @@
     ["a", "b", "c"][(i % 3) as usize].into()
 }
 
-fn name(i: u64) -> String {
-    format!("n-{i:06}")
-}
-
 fn index(name: &str) -> u64 {
     name.strip_prefix("n-").and_then(|t| t.parse().ok()).unwrap()
 }
@@ -89,7 +73,7 @@
             zones: (0..3).map(zone).collect(),
         }];
         let stamps = Stamps { token: 7, vacant: 7 };
-        let mut c = Cluster::new(policy(), stamps, types, stored, Vec::new(), 1_000);
+        let mut c = Cluster::new(settings(), stamps, types, stored, Vec::new(), 1_000);
         let tasks = 3 * PER_ZONE as u32;
         c.handle(1_000, Event::Job { spec: spec(1, tasks), submitted_at: 0, stamp: 3, done: None });
         Fleet {
@@ -196,28 +180,6 @@
     }
 }
 
-fn spec(id: u64, tasks: u32) -> Arc<JobSpec> {
-    Arc::new(JobSpec {
-        id: JobId(id),
-        class: "c".into(),
-        team: "t".into(),
-        priority: Priority::Normal,
-        tasks,
-        demand: Demand { cpus: 4.0, gpus: 0.0, memory_gb: 4.0 },
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        image: "i".into(),
-        image_gb: 1.0,
-        estimate_s: 20.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    })
-}
-
 fn in_b(i: u64) -> bool {
     zone(i) == "b"
 }
