Idle-time work comes after all that is wanted by a time, within a share from 150 s on

Low priority without a deadline or an aim of the class is now a tier of its own, the last, and rents no ordinary machine. From 150 s on it has a quarter of the CPUs before jobs that can't be in time, the oldest first, so that an overload that lasts does not leave it unserved.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -123,6 +123,10 @@
 /// ms after that until a machine is kept free for it: where its tasks are larger than the others, places
 /// for one of them never come free by themselves.
 pub const BEGIN_KEEP_MS: Millis = 20_000;
+/// Part of the cluster's CPUs that idle-time work takes before jobs that can't be in time, from
+/// [`BEGIN_MS`] on: enough that most of it is done some minutes after an overload began, too little to
+/// make many others late.
+pub const SPARE_SHARE: f64 = 0.25;
 /// ms within which the tasks of a class are to start for it to be a prompt one: what the largest image
 /// takes to fetch. An aim above it is met whether a fetch is needed or not.
 pub const PROMPT_MOST_MS: Millis = 10_000;
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -19,13 +19,14 @@
 use std::sync::Arc;
 
 use fleet::new_machine;
+use order::Turn;
 use placing::Shapes;
 use reports::stop_runs_of;
 use saving::{results_bytes, stored_of};
 
 use crate::bitmap::Bitmap;
 use crate::constants::*;
-use crate::job::{Demand, Job, JobId, JobSpec, Place, TaskId};
+use crate::job::{Demand, Job, JobId, JobSpec, Place, Priority, TaskId};
 use crate::machine::*;
 use crate::packs::{PackWrite, Packs, Wrote};
 use crate::placement::{self, Offer, Rank, Room, Tier, Weights};
@@ -59,6 +60,8 @@
     pub teams: Vec<Team>,
     /// What is aimed at for the classes.
     pub aims: Vec<Aim>,
+    /// Classes with an aim of any kind.
+    pub aimed: BTreeSet<String>,
     /// Classes whose tasks are to start within so many ms.
     pub prompt: Vec<(String, Millis)>,
 }
@@ -331,7 +334,7 @@
     results: Packs<(JobId, u32)>,
     shapes: Shapes,
     /// Jobs with waiting tasks, in the order of the last round.
-    queue: Vec<JobId>,
+    queue: Vec<Turn>,
     /// Jobs that are to begin before that order, and machines kept free for them.
     begin: Vec<JobId>,
     kept: HashSet<Arc<str>>,
--- a/crates/latchtrack-core/src/leader/order.rs
+++ b/crates/latchtrack-core/src/leader/order.rs
@@ -3,10 +3,18 @@
 use super::placing::has_limit;
 use super::*;
 
+/// A job in the queue, with how many of its tasks may be placed in this turn.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Turn {
+    pub job: JobId,
+    pub most: u32,
+}
+
 impl Cluster {
     /// The jobs with waiting tasks that may be placed now, the first to be placed first.
-    pub(super) fn order(&self, now: Millis, total: &Demand, unsettled: bool) -> Vec<JobId> {
+    pub(super) fn order(&self, now: Millis, total: &Demand, unsettled: bool) -> Vec<Turn> {
         let guaranteed = self.guaranteed_jobs();
+        let spares = self.spares_due(now, total);
         let mut order: Vec<(Rank, JobId)> = self
             .jobs
             .iter()
@@ -16,7 +24,10 @@
                 (waiting > 0).then(|| {
                     let d = &j.spec.demand;
                     let demand = placement::job_demand(d, waiting, total, &self.policy.weights);
-                    let (tier, due) = self.due(now, j);
+                    let (tier, due) = match spares.get(id) {
+                        Some(_) => (Tier::Regular, j.submitted_at),
+                        None => self.due(now, j),
+                    };
                     let rank = Rank {
                         guaranteed: u8::from(!guaranteed.contains(id)),
                         tier,
@@ -33,7 +44,35 @@
         order.sort_by(by_rank);
         self.step_back(now, &mut order, total);
         order.sort_by(by_rank);
-        order.into_iter().map(|(_, id)| id).collect()
+        let most = |id: &JobId| spares.get(id).copied().unwrap_or(u32::MAX);
+        order.into_iter().map(|(_, job)| Turn { job, most: most(&job) }).collect()
+    }
+
+    /// Spare jobs that have waited long enough to go before those that can't be in time, with how
+    /// many tasks: the oldest first, within their share of the cluster. Behind an overload that lasts
+    /// they would else not be served at all.
+    fn spares_due(&self, now: Millis, total: &Demand) -> HashMap<JobId, u32> {
+        let mut left = total.cpus * SPARE_SHARE;
+        let mut due: Vec<&Job> = Vec::new();
+        for job in self.jobs.values().filter(|j| self.is_spare(&j.spec)) {
+            left -= job.spec.demand.cpus * job.placed.len() as f64;
+            if job.waiting() > 0 && now >= job.submitted_at.saturating_add(BEGIN_MS) {
+                due.push(job);
+            }
+        }
+        due.sort_by_key(|j| (j.submitted_at, j.spec.id));
+        let mut out = HashMap::new();
+        for job in due {
+            let cpus = job.spec.demand.cpus;
+            let n = if cpus > 0.0 { (left / cpus).max(0.0) as u32 } else { u32::MAX };
+            if n == 0 {
+                break;
+            }
+            let n = n.min(job.waiting());
+            left -= cpus * f64::from(n);
+            out.insert(job.spec.id, n);
+        }
+        out
     }
 
     /// Whether a job may not start anything while a machine is unsettled: an earlier leader may
@@ -42,6 +81,14 @@
         job.inherited || self.policy.teams.iter().any(|t| t.name == job.spec.team && has_limit(t))
     }
 
+    /// Whether a job is to take only what would stand idle: of the lowest priority, and nothing says by
+    /// when anybody wants it.
+    pub(super) fn is_spare(&self, spec: &JobSpec) -> bool {
+        spec.priority == Priority::Low
+            && spec.deadline_s.is_none()
+            && !self.policy.aimed.contains(&spec.class)
+    }
+
     /// Jobs that fit into their team's guarantee together with the team's earlier ones.
     fn guaranteed_jobs(&self) -> HashSet<JobId> {
         let mut out = HashSet::new();
@@ -65,8 +112,8 @@
 
     /// In which tier of the queue a job stands, and when it is due on the local clock: jobs with
     /// a deadline of their own first, then those whose class has an aim, each by the next that
-    /// can still be met; then the others; last those that have missed theirs, which can no longer
-    /// be late but would make others so.
+    /// can still be met; then the others; then those that have missed theirs, which can no longer
+    /// be late but would make others so; last what is of the lowest priority and has no aim at all.
     fn due(&self, now: Millis, job: &Job) -> (Tier, Millis) {
         let own = job.spec.deadline_s.map(|d| (d * 1000.0) as Millis);
         let aims = self.policy.aims.iter().filter(|a| a.class == job.spec.class);
@@ -78,7 +125,7 @@
             .chain(own)
             .collect();
         if dues.is_empty() {
-            return (Tier::Regular, 0);
+            return (if self.is_spare(&job.spec) { Tier::Spare } else { Tier::Regular }, 0);
         }
         dues.retain(|ms| job.submitted_at.saturating_add(*ms) > now);
         match dues.iter().min() {
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -195,14 +195,15 @@
         let shapes = vec![Found::default(); self.shapes.0.len()];
         let mut round = Round { rooms, total, shapes, used, unknown_runs };
         let unsettled = !self.garbled.is_empty() || self.machines.values().any(Machine::unsettled);
-        let order = self.order(now, &round.total, unsettled);
-        for job in order.iter().filter_map(|id| self.jobs.get(id)) {
-            round.shapes[job.shape].to_come += job.waiting();
+        let mut order = self.order(now, &round.total, unsettled);
+        for turn in &order {
+            let Some(job) = self.jobs.get(&turn.job) else { continue };
+            round.shapes[job.shape].to_come += job.waiting().min(turn.most);
         }
         // The oldest first.
         let mut begin: Vec<(Millis, JobId)> = order
             .iter()
-            .filter_map(|id| Some((self.jobs.get(id)?.submitted_at, *id)))
+            .filter_map(|t| Some((self.jobs.get(&t.job)?.submitted_at, t.job)))
             .filter(|(at, id)| now >= at.saturating_add(BEGIN_MS) && self.jobs[id].untouched())
             .collect();
         begin.sort();
@@ -223,14 +224,12 @@
                 self.hold(&spec, KEPT, 1, &mut round);
             }
         }
-        for id in &order {
-            self.place_job(now, *id, &mut round);
+        for turn in &mut order {
+            self.place_job(now, turn, &mut round);
         }
         // What single reports free until the next round goes to these, in this order.
-        self.queue = order
-            .into_iter()
-            .filter(|id| self.jobs.get(id).is_some_and(|j| j.waiting() > 0))
-            .collect();
+        order.retain(|t| t.most > 0 && self.jobs.get(&t.job).is_some_and(|j| j.waiting() > 0));
+        self.queue = order;
         let held = round.rooms.into_iter().filter_map(|r| Some((r.machine?, r.held?)));
         let (kept, held): (Vec<_>, Vec<_>) = held.partition(|(_, shape)| *shape == KEPT);
         self.kept = kept.into_iter().map(|(machine, _)| machine).collect();
@@ -272,7 +271,10 @@
         while room.free.cpus > 0.0 {
             let (next, gone) = self.next_here(now, machine, &room);
             empty = gone;
-            let Some((id, n)) = next else { break };
+            let Some((i, n)) = next else { break };
+            let turn = &mut self.queue[i];
+            turn.most -= n;
+            let id = turn.job;
             let Some(job) = self.jobs.get(&id) else { break };
             let spec = job.spec.clone();
             room.take(&spec.demand, n);
@@ -280,22 +282,23 @@
         }
         if empty * 2 > self.queue.len() {
             let jobs = &self.jobs;
-            self.queue.retain(|id| jobs.get(id).is_some_and(|j| j.waiting() > 0));
+            self.queue.retain(|t| t.most > 0 && jobs.get(&t.job).is_some_and(|j| j.waiting() > 0));
         }
     }
 
-    /// The job of the queue that takes this room next, with how many tasks: the first that fits, or
+    /// The turn of the queue that takes this room next, with how many tasks: the first that fits, or
     /// one of the next few whose image the machine holds, unless that passes a job that is to start
-    /// promptly. Also how many jobs of the queue had nothing left.
-    fn next_here(&self, now: Millis, machine: &str, room: &Room) -> (Option<(JobId, u32)>, usize) {
+    /// promptly. Also how many of the queue had nothing left.
+    fn next_here(&self, now: Millis, machine: &str, room: &Room) -> (Option<(usize, u32)>, usize) {
         let mut empty = 0;
         let mut first = None;
         let mut looked = 0;
         // Held room is for the jobs of a shape and those before them.
         let held = self.held.get(machine).copied();
         let mut reached = false;
-        for id in &self.queue {
-            let Some(job) = self.jobs.get(id).filter(|j| j.waiting() > 0) else {
+        for (i, turn) in self.queue.iter().enumerate() {
+            let Some(job) = self.jobs.get(&turn.job).filter(|j| turn.most > 0 && j.waiting() > 0)
+            else {
                 empty += 1;
                 continue;
             };
@@ -305,14 +308,15 @@
             }
             let slice = self.slice_of(&job.spec);
             let fits = self.fits_here(now, job, machine, room);
-            let n = if fits < job.waiting() { fits / slice * slice } else { job.waiting() };
+            let want = job.waiting().min(turn.most);
+            let n = if fits < want { fits / slice * slice } else { want };
             if n == 0 {
                 continue;
             }
             if room.images.contains(&job.spec.image) {
-                return (Some((*id, n)), empty);
+                return (Some((i, n)), empty);
             }
-            first.get_or_insert((*id, n));
+            first.get_or_insert((i, n));
             looked += 1;
             if looked >= WARM_LOOK || self.prompt_ms(&job.spec).is_some() {
                 break;
@@ -340,10 +344,11 @@
         fits(&spec.demand, left(team.cpus_max, cpus), left(team.gpus_max, gpus), f64::INFINITY)
     }
 
-    fn place_job(&mut self, now: Millis, id: JobId, round: &mut Round) {
+    fn place_job(&mut self, now: Millis, turn: &mut Turn, round: &mut Round) {
+        let id = turn.job;
         let Some(job) = self.jobs.get(&id) else { return };
         let (spec, shape) = (job.spec.clone(), job.shape);
-        let all = job.waiting();
+        let all = job.waiting().min(turn.most);
         round.shapes[shape].to_come = round.shapes[shape].to_come.saturating_sub(all);
         let waiting = all.min(self.limit_left(&spec, round));
         if waiting == 0 {
@@ -353,6 +358,7 @@
         if !round.shapes[shape].no_ready {
             left -= self.fill_ready(now, id, &spec, waiting, round);
         }
+        turn.most = turn.most.saturating_sub(waiting - left);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if left == 0 {
             job.passed_since = None;
--- a/crates/latchtrack-core/src/leader/renting.rs
+++ b/crates/latchtrack-core/src/leader/renting.rs
@@ -19,11 +19,14 @@
         }
         let offers = placement::offers(spec, &self.types, self.rotate);
         let policy = &self.policy;
+        let spare = self.is_spare(spec);
         let Some(offer) = offers.into_iter().find(|o| {
-            // A job that may not use spot machines has nothing to wait for.
+            // A job that may not use spot machines has nothing to wait for; one that takes what would
+            // stand idle is not worth an ordinary one.
             let cheapest = o.spot || !spec.spot;
             let wait = if cheapest { policy.spot_after_ms } else { policy.ordinary_after_ms };
             passed >= wait
+                && (cheapest || !spare)
                 && self.exhausted.get(o).is_none_or(|until| *until <= now)
                 && !self.quiet.contains(o.zone.as_str())
         }) else {
--- a/crates/latchtrack-core/src/placement.rs
+++ b/crates/latchtrack-core/src/placement.rs
@@ -101,6 +101,8 @@
     Aside,
     /// Past all of its own.
     Missed,
+    /// Of the lowest priority and with nothing to be late for: takes what would stand idle.
+    Spare,
 }
 
 /// Where a job stands in the queue; smaller goes first.
--- a/crates/latchtrack-core/tests/common/mod.rs
+++ b/crates/latchtrack-core/tests/common/mod.rs
@@ -27,6 +27,7 @@
         value_bytes: 4_096,
         teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
         aims: Vec::new(),
+        aimed: Default::default(),
         prompt: Vec::new(),
     }
 }
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use common::*;
-use latchtrack_core::job::{Demand, JobId, JobSpec};
+use latchtrack_core::job::{Demand, JobId, JobSpec, Priority};
 use latchtrack_core::leader::*;
 use latchtrack_core::machine::*;
 
@@ -643,3 +643,45 @@
     assert_eq!(forgets(false), 8, "only questions were lost");
     assert_eq!(forgets(true), 0, "a launch may come late");
 }
+
+/// Recorded day inc-062e: idle-time work without any aim stood before all jobs that could not be in
+/// time, and kept a full fleet from them for minutes.
+#[test]
+fn idle_time_work_waits_for_what_is_late_and_rents_nothing_dear() {
+    let mut c = Cluster::new(c_policy(), STAMPS, types(), stored(0..1), Vec::new(), 1_000);
+    let spare = JobSpec { class: "idle".into(), priority: Priority::Low, ..(*spec(1, 40)).clone() };
+    let job = |spec| Event::Job { spec, submitted_at: 0, stamp: 9, done: None };
+    c.handle(1_000, job(Arc::new(spare.clone())));
+    c.handle(1_000, job(spec(2, 2)));
+    c.handle(2_000, Event::Report(report(0, 1, 7, Vec::new())));
+    let placed = |c: &Cluster, id| c.jobs()[&JobId(id)].placed.len();
+    assert_eq!((placed(&c, 1), placed(&c, 2)), (0, 2), "the late one goes first");
+    let mut hired = Vec::new();
+    for now in (2_200..60_000).step_by(200) {
+        for e in c.handle(now, Event::Tick) {
+            let Effect::Hire { hire, offer, .. } = e else { continue };
+            hired.push(offer.spot);
+            c.handle(now, Event::Hired { hire, outcome: HireOutcome::NoCapacity });
+        }
+    }
+    assert!(!hired.is_empty() && hired.iter().all(|spot| *spot), "{hired:?}");
+
+    // Behind others that are late for ever it has its share all the same.
+    let mut c = Cluster::new(c_policy(), STAMPS, types(), stored(0..40), Vec::new(), 200_000);
+    c.handle(200_000, job(Arc::new(spare)));
+    c.handle(200_000, job(spec(2, 1_000)));
+    for i in 0..40 {
+        let now = 200_000 + 200 * i;
+        c.handle(now, Event::Tick);
+        c.handle(now, Event::Report(report(i, 1, 7, Vec::new())));
+    }
+    // Of eighty places in all.
+    assert!((15..=20).contains(&placed(&c, 1)), "{}", placed(&c, 1));
+    assert_eq!(placed(&c, 1) + placed(&c, 2), 80);
+}
+
+/// All jobs of class c are late from the start.
+fn c_policy() -> Policy {
+    let aims = vec![Aim { class: "c".into(), due: Due::Within(1) }];
+    Policy { aims, aimed: ["c".to_string()].into(), ..patient() }
+}
--- a/crates/latchtrack-core/tests/simulation.rs
+++ b/crates/latchtrack-core/tests/simulation.rs
@@ -276,3 +276,13 @@
     ];
     ends_well("fleet", FLEET, 0..1, &plan);
 }
+
+/// A guest without a guarantee brings more than the machines can do for minutes, of three kinds, and
+/// takes nothing from the others for long, nor is left waiting.
+#[test]
+fn guests_are_served_and_push_nobody_out() {
+    use Planned::*;
+    let size = Size { troubles: 0.004, limit: 1e6, ..BUSY };
+    let plan = [(20_000, Guests), (60_000, CrashAll), (90_000, Guests)];
+    ends_well("guests", size, 0..6, &plan);
+}
--- a/crates/latchtrack-core/tests/world/mod.rs
+++ b/crates/latchtrack-core/tests/world/mod.rs
@@ -103,6 +103,8 @@
     CutOther(u64),
     /// A part of the machines hangs.
     Hang(f64, u64),
+    /// A guest submits all that it has.
+    Guests,
 }
 
 /// Which guard is broken.
@@ -485,7 +487,7 @@
             groups.entry(format!("team {}", j.spec.team)).or_default().push(j);
             groups.entry(format!("class {}", j.spec.class)).or_default().push(j);
         }
-        for class in ["c", "d"] {
+        for class in ["c", "d", "idle", "huge"] {
             let Some(all) = groups.get(&format!("class {class}")) else { continue };
             let mut all = all.clone();
             all.sort_by_key(|j| std::cmp::Reverse(j.spec.tasks));
--- a/crates/latchtrack-core/tests/world/nodes.rs
+++ b/crates/latchtrack-core/tests/world/nodes.rs
@@ -111,6 +111,7 @@
             calls_open: 16.max(self.size.capacity),
             value_bytes: if self.size.capacity > 10 { 4_096 } else { 300 },
             teams: vec![team("free", 0.0), team("limited", limit)],
+            aimed: ["c", "d"].map(String::from).into(),
             prompt: vec![("d".into(), 1_000)],
             aims: [("c", 30_000), ("d", 60_000)]
                 .map(|(class, ms)| Aim { class: class.into(), due: Due::Within(ms) })
--- a/crates/latchtrack-core/tests/world/users.rs
+++ b/crates/latchtrack-core/tests/world/users.rs
@@ -29,6 +29,7 @@
                 Planned::CutOther(ms) => {
                     self.zone_cut = Some((Self::zone_of(leader + 1), now + ms));
                 }
+                Planned::Guests => self.guests(),
                 Planned::Hang(share, ms) => {
                     for name in self.workers.keys().cloned().collect::<Vec<_>>() {
                         if self.rng.random_bool(share) {
@@ -164,7 +165,53 @@
         if spec.one_zone {
             spec.spread = false;
         }
-        let mistaken = self.rng.random_bool(0.08);
+        self.accept(spec, 0.08);
+    }
+
+    /// What a guest brings: idle-time work of long tasks, an array of very many, single small tasks.
+    pub(super) fn guests(&mut self) {
+        let guest = |class: &str, tasks, cpus, estimate_s| JobSpec {
+            id: JobId(0),
+            class: class.into(),
+            team: "free".into(),
+            priority: Priority::Low,
+            tasks,
+            demand: Demand { cpus, gpus: 0.0, memory_gb: cpus },
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            image: "guest".into(),
+            image_gb: 0.5,
+            estimate_s,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        let many = 4 * self.size.tasks;
+        for _ in 0..3 {
+            self.next_job += 1;
+            self.accept(
+                JobSpec { id: JobId(self.next_job), ..guest("idle", many, 2.0, 60.0) },
+                0.0,
+            );
+        }
+        self.next_job += 1;
+        self.accept(
+            JobSpec { id: JobId(self.next_job), ..guest("huge", 20 * many, 0.25, 5.0) },
+            0.0,
+        );
+        for _ in 0..10 * many {
+            self.next_job += 1;
+            self.accept(JobSpec { id: JobId(self.next_job), ..guest("swarm", 1, 0.25, 20.0) }, 0.0);
+        }
+    }
+
+    /// A job is accepted; with this chance it was submitted with a mistake.
+    fn accept(&mut self, spec: JobSpec, mistakes: f64) {
+        let id = spec.id;
+        let mistaken = self.rng.random_bool(mistakes);
         self.epoch += 1;
         self.jobs.insert(
             id,
--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -318,6 +318,7 @@
             calls_open: self.calls_open(),
             value_bytes: (self.platform.params.state.value_kb * 1024.0) as usize,
             prompt: self.prompt(),
+            aimed: self.platform.params.objectives.iter().map(|o| o.class.clone()).collect(),
             aims: self.platform.params.objectives.iter().filter_map(Objective::aim).collect(),
             teams: self
                 .platform
