Jobs that show nothing but failures are tried one task at a time; their machines are acquitted

Whose fault a failure is now has a place of its own (leader/doubt.rs): three machines failing a job of which nothing is done, and of which no task runs longer than the failed ones did, put the job in doubt; what was held against the machines is taken back. One task at a time is tried, where others have lately succeeded, first of all but with growing pauses; nothing is rented, held or counted for it. Its first success restores it, and its failures then speak against the machines.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -87,9 +87,14 @@
 pub const FAIL_PAUSE_MOST_MS: Millis = 60_000;
 /// Different machines on which a job fails before the job, not the machines, is suspected.
 pub const JOB_SUSPECT: usize = 3;
-/// Tasks of a job still placed for each machine it failed on, above which the machines are suspected
-/// all the same: a large array meets many faulty machines of a large fleet.
-pub const SUSPECT_PLACED: usize = 4;
+/// ms for which a task must have run, beside twice what the failed ones of its job did, to speak for
+/// the job: between two reports of a machine.
+pub const DOES_WELL_MS: Millis = 3_000;
+/// Tasks of a job that are looked at for one that does well.
+pub const DOUBT_LOOK: usize = 64;
+/// ms a job in doubt waits for a place where others have succeeded before it is tried anywhere: after a
+/// take-over, or in a fleet that does nothing else, no machine has shown that it is sound.
+pub const TRIAL_ANYWHERE_MS: Millis = 10_000;
 /// Different jobs failing on a machine before it gets no more tasks and goes back.
 pub const MACHINE_SUSPECT: usize = 2;
 /// ms a machine gets no task after a task failed on it while other jobs have not yet judged it.
--- a/crates/latchtrack-core/src/job.rs
+++ b/crates/latchtrack-core/src/job.rs
@@ -131,8 +131,13 @@
     cursor: u32,
     /// Nothing of it is placed before this time.
     pub pause_until: Millis,
-    /// Machines it failed on.
+    /// Machines it failed on, and for how long a failed task had run at most.
     pub failed_on: BTreeSet<String>,
+    pub failed_after: Millis,
+    /// Shows nothing but failures: one task at a time is tried.
+    pub in_doubt: bool,
+    /// Tries that failed since then.
+    pub tries: u32,
     /// Since when it has found no room.
     pub passed_since: Option<Millis>,
     /// Run times of its done tasks: their sum in ms and their count.
@@ -163,6 +168,9 @@
             cursor: 0,
             pause_until: 0,
             failed_on: BTreeSet::new(),
+            failed_after: 0,
+            in_doubt: false,
+            tries: 0,
             passed_since: None,
             ran: (0, 0),
         }
@@ -233,17 +241,12 @@
         n >= SLOW_LIKE && ran as f64 * f64::from(n) > SLOW_FACTOR * sum as f64
     }
 
-    /// Whether it failed on this machine, and that is held to be the machine's fault.
-    pub fn avoids(&self, machine: &str) -> bool {
-        self.failed_on.contains(machine) && !self.suspect()
-    }
-
-    /// Looks for a job that fails everywhere rather than for machines that fail everything: not one
-    /// of it is done, and few of its tasks are anywhere but where it has failed.
-    pub fn suspect(&self) -> bool {
-        self.failed_on.len() >= JOB_SUSPECT
-            && self.done.ones() == 0
-            && self.placed.len() < SUSPECT_PLACED * self.failed_on.len()
+    /// How many of its tasks may be placed now: of a job in doubt one at a time.
+    pub fn wanted(&self) -> u32 {
+        match self.in_doubt {
+            true => u32::from(self.left > 0 && self.placed.is_empty()),
+            false => self.left,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/latchtrack-core/src/leader/doubt.rs
@@ -0,0 +1,118 @@
+//! Whose fault a failure is: the machine's, or the job's.
+//!
+//! A job submitted with a mistake fails on every machine until its user cancels it; a faulty machine
+//! fails every task that it starts. Machines are judged by jobs that do well elsewhere. A job that has
+//! shown nothing but failures, on several machines, is in doubt: one task of it at a time is tried,
+//! where others have lately succeeded, with growing pauses, and nothing is rented or held for it. Its
+//! first success, or a task that runs for longer than the failed ones did, restores it whole, and then
+//! its failures speak against the machines after all.
+
+use super::*;
+
+impl Cluster {
+    /// A task failed on this machine after it had been seen to run for so long.
+    pub(super) fn on_failed(&mut self, now: Millis, machine: &str, id: JobId, ran: Millis) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.failed_on.insert(machine.to_string());
+        job.failed_after = job.failed_after.max(ran);
+        let in_doubt = job.in_doubt;
+        let doubtful = job.done.ones() == 0 && job.failed_on.len() >= JOB_SUSPECT;
+        if in_doubt || (doubtful && !self.does_well(now, id)) {
+            if !in_doubt {
+                self.doubt(id);
+            }
+            let Some(job) = self.jobs.get_mut(&id) else { return };
+            // What was launched together fails together, which says no more than one failure does.
+            if now >= job.pause_until {
+                job.pause_until =
+                    now + (FAIL_PAUSE_MS << job.tries.min(16)).min(FAIL_PAUSE_MOST_MS);
+                job.tries += 1;
+            }
+        } else {
+            self.blame(now, machine, id);
+        }
+    }
+
+    /// Whether a task of the job has run for longer than the failed ones did: looked for in the first
+    /// few, which were launched first.
+    fn does_well(&self, now: Millis, id: JobId) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let least = job.failed_after.saturating_mul(2).saturating_add(DOES_WELL_MS);
+        let runs = job.placed.iter().take(DOUBT_LOOK).filter_map(|(index, place)| {
+            let task = TaskId { job: id, index: *index };
+            self.machines.get(&*place.machine)?.runs.get(&(task, place.attempt))
+        });
+        job.done.ones() > 0
+            || runs
+                .filter(|run| run.phase == Phase::Running)
+                .any(|run| run.running_since.is_some_and(|at| now >= at.saturating_add(least)))
+    }
+
+    fn doubt(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.in_doubt = true;
+        job.passed_since = None;
+        self.doubted.insert(id);
+        let n = job.failed_on.len();
+        self.out.push(Effect::Note(format!(
+            "job {id} fails everywhere ({n} machines): one task at a time from now on"
+        )));
+        // It was no fault of theirs.
+        for name in &job.failed_on {
+            let Some(m) = self.machines.get_mut(name) else { continue };
+            m.failed_jobs.remove(&id);
+            if m.failed_jobs.is_empty() {
+                m.probation_until = 0;
+            }
+        }
+        self.replan = true;
+    }
+
+    /// It can be done: what failed was its machines' fault.
+    pub(super) fn restore(&mut self, now: Millis, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.pause_until = 0;
+        job.tries = 0;
+        if !std::mem::take(&mut job.in_doubt) {
+            return;
+        }
+        self.doubted.remove(&id);
+        self.out.push(Effect::Note(format!("job {id} does not fail everywhere")));
+        for name in job.failed_on.clone() {
+            self.blame(now, &name, id);
+        }
+        self.replan = true;
+    }
+
+    /// Holds a job's failure against the machine. One that fails different jobs goes back.
+    fn blame(&mut self, now: Millis, machine: &str, id: JobId) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        m.failed_jobs.insert(id);
+        m.proved = false;
+        m.probation_until = now + PROBATION_MS;
+        if m.failed_jobs.len() >= MACHINE_SUSPECT && !m.leaving {
+            m.leaving = true;
+            self.out.push(Effect::Note(format!("machine {machine} fails every job")));
+        }
+    }
+
+    /// Jobs in doubt of which a task does well.
+    pub(super) fn watch_doubted(&mut self, now: Millis) {
+        let well: Vec<JobId> =
+            self.doubted.iter().copied().filter(|id| self.does_well(now, *id)).collect();
+        for id in well {
+            self.restore(now, id);
+        }
+    }
+
+    /// Whether a job keeps off this machine: it failed there. One in doubt is tried only where others
+    /// have succeeded, unless it has waited long for such a place.
+    pub(super) fn avoids(&self, now: Millis, job: &Job, machine: &str) -> bool {
+        let failed = job.failed_on.contains(machine);
+        if !job.in_doubt {
+            return failed;
+        }
+        let proved = || self.machines.get(machine).is_some_and(|m| m.proved);
+        now < job.pause_until.saturating_add(TRIAL_ANYWHERE_MS) && (failed || !proved())
+    }
+}
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -146,6 +146,7 @@
         self.watch_notices();
         self.watch_idle(now);
         self.watch_deaf(now);
+        self.watch_doubted(now);
         self.probe(now);
         self.wake.append(&mut self.wake_later);
         if self.plan_due(now) {
@@ -400,6 +401,7 @@
         empty_since: None,
         failed_jobs: BTreeSet::new(),
         probation_until: 0,
+        proved: false,
         images: Arc::default(),
     }
 }
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -8,6 +8,7 @@
 //! - a launch whose direct call was never answered may execute later, so its attempt is never
 //!   forgotten in that session.
 
+mod doubt;
 mod fleet;
 mod order;
 mod placing;
@@ -327,6 +328,8 @@
     rotate: usize,
     listed_at: Option<Millis>,
     finished: BTreeSet<JobId>,
+    /// Jobs that show nothing but failures.
+    doubted: BTreeSet<JobId>,
     /// Values of the machine set that can't be read: until every lease of before this term has run
     /// out, tasks may be on machines that we do not know.
     garbled: Vec<(String, u64)>,
@@ -434,6 +437,7 @@
             rotate: token as usize,
             listed_at: None,
             finished: BTreeSet::new(),
+            doubted: BTreeSet::new(),
             garbled,
             fleet,
             results: kept,
@@ -594,6 +598,7 @@
             return;
         }
         self.finished.remove(&id);
+        self.doubted.remove(&id);
         self.forget_results(id);
         for (name, m) in &mut self.machines {
             if stop_runs_of(m, id) {
--- a/crates/latchtrack-core/src/leader/order.rs
+++ b/crates/latchtrack-core/src/leader/order.rs
@@ -20,11 +20,12 @@
             .iter()
             .filter(|(_, j)| !(unsettled && self.waits_for_settling(j)) && j.pause_until <= now)
             .filter_map(|(id, j)| {
-                let waiting = j.waiting();
+                let waiting = j.wanted();
                 (waiting > 0).then(|| {
                     let d = &j.spec.demand;
                     let demand = placement::job_demand(d, waiting, total, &self.policy.weights);
                     let (tier, due) = match spares.get(id) {
+                        _ if j.in_doubt => (Tier::Trial, j.pause_until),
                         Some(_) => (Tier::Regular, j.submitted_at),
                         None => self.due(now, j),
                     };
@@ -56,7 +57,10 @@
         let mut due: Vec<&Job> = Vec::new();
         for job in self.jobs.values().filter(|j| self.is_spare(&j.spec)) {
             left -= job.spec.demand.cpus * job.placed.len() as f64;
-            if job.waiting() > 0 && now >= job.submitted_at.saturating_add(BEGIN_MS) {
+            if job.waiting() > 0
+                && !job.in_doubt
+                && now >= job.submitted_at.saturating_add(BEGIN_MS)
+            {
                 due.push(job);
             }
         }
@@ -94,7 +98,7 @@
         let mut out = HashSet::new();
         for team in self.policy.teams.iter().filter(|t| t.cpus > 0.0 || t.gpus > 0.0) {
             let mut mine: Vec<&Job> =
-                self.jobs.values().filter(|j| j.spec.team == team.name).collect();
+                self.jobs.values().filter(|j| j.spec.team == team.name && !j.in_doubt).collect();
             mine.sort_by_key(|j| (j.submitted_at, j.spec.id));
             let (mut cpus, mut gpus) = (0.0, 0.0);
             for job in mine {
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -170,7 +170,7 @@
             || spec.one_zone
             || spec.spread
             || !placement::allowed(spec, &room.kind, &room.zone, room.spot)
-            || job.avoids(machine)
+            || self.avoids(now, job, machine)
             || self.policy.teams.iter().any(|t| t.name == spec.team && has_limit(t))
             || (!room.may_hold
                 && !room.images.contains(&spec.image)
@@ -198,7 +198,9 @@
         let mut order = self.order(now, &round.total, unsettled);
         for turn in &order {
             let Some(job) = self.jobs.get(&turn.job) else { continue };
-            round.shapes[job.shape].to_come += job.waiting().min(turn.most);
+            if !job.in_doubt {
+                round.shapes[job.shape].to_come += job.waiting().min(turn.most);
+            }
         }
         // The oldest first.
         let mut begin: Vec<(Millis, JobId)> = order
@@ -221,14 +223,14 @@
             if most < slice {
                 self.count_use(&spec, slice, &mut round);
             } else if now >= since {
-                self.hold(&spec, KEPT, 1, &mut round);
+                self.hold(now, &spec, KEPT, 1, &mut round);
             }
         }
         for turn in &mut order {
             self.place_job(now, turn, &mut round);
         }
         // What single reports free until the next round goes to these, in this order.
-        order.retain(|t| t.most > 0 && self.jobs.get(&t.job).is_some_and(|j| j.waiting() > 0));
+        order.retain(|t| t.most > 0 && self.jobs.get(&t.job).is_some_and(|j| j.wanted() > 0));
         self.queue = order;
         let held = round.rooms.into_iter().filter_map(|r| Some((r.machine?, r.held?)));
         let (kept, held): (Vec<_>, Vec<_>) = held.partition(|(_, shape)| *shape == KEPT);
@@ -282,7 +284,7 @@
         }
         if empty * 2 > self.queue.len() {
             let jobs = &self.jobs;
-            self.queue.retain(|t| t.most > 0 && jobs.get(&t.job).is_some_and(|j| j.waiting() > 0));
+            self.queue.retain(|t| t.most > 0 && jobs.get(&t.job).is_some_and(|j| j.wanted() > 0));
         }
     }
 
@@ -297,7 +299,7 @@
         let held = self.held.get(machine).copied();
         let mut reached = false;
         for (i, turn) in self.queue.iter().enumerate() {
-            let Some(job) = self.jobs.get(&turn.job).filter(|j| turn.most > 0 && j.waiting() > 0)
+            let Some(job) = self.jobs.get(&turn.job).filter(|j| turn.most > 0 && j.wanted() > 0)
             else {
                 empty += 1;
                 continue;
@@ -308,7 +310,7 @@
             }
             let slice = self.slice_of(&job.spec);
             let fits = self.fits_here(now, job, machine, room);
-            let want = job.waiting().min(turn.most);
+            let want = job.wanted().min(turn.most);
             let n = if fits < want { fits / slice * slice } else { want };
             if n == 0 {
                 continue;
@@ -348,8 +350,11 @@
         let id = turn.job;
         let Some(job) = self.jobs.get(&id) else { return };
         let (spec, shape) = (job.spec.clone(), job.shape);
-        let all = job.waiting().min(turn.most);
-        round.shapes[shape].to_come = round.shapes[shape].to_come.saturating_sub(all);
+        let all = job.wanted().min(turn.most);
+        let in_doubt = job.in_doubt;
+        if !in_doubt {
+            round.shapes[shape].to_come = round.shapes[shape].to_come.saturating_sub(all);
+        }
         let waiting = all.min(self.limit_left(&spec, round));
         if waiting == 0 {
             return;
@@ -360,7 +365,8 @@
         }
         turn.most = turn.most.saturating_sub(waiting - left);
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        if left == 0 {
+        // Nothing is rented or held for a job in doubt.
+        if left == 0 || in_doubt {
             job.passed_since = None;
             return;
         }
@@ -395,7 +401,7 @@
             // Once for all of the shape that wait.
             round.shapes[shape].held = true;
             let alike = round.shapes[shape].to_come;
-            self.hold(&spec, shape, left.saturating_add(alike), round);
+            self.hold(now, &spec, shape, left.saturating_add(alike), round);
         }
     }
 
@@ -417,7 +423,7 @@
             }
             false => Vec::new(),
         };
-        let avoid = |room: &Room| room.machine.as_ref().is_some_and(|m| job.avoids(m));
+        let avoid = |r: &Room| r.machine.as_ref().is_some_and(|m| self.avoids(now, job, m));
         let cold = |r: &Room| !r.images.contains(&spec.image);
         let waits = self.waits_on_any_type(now, job);
         let weights = self.policy.weights;
@@ -547,9 +553,11 @@
     }
 
     /// Keeps the roomiest machines for a job that was passed over too long.
-    fn hold(&self, spec: &JobSpec, shape: usize, left: u32, round: &mut Round) {
+    fn hold(&self, now: Millis, spec: &JobSpec, shape: usize, left: u32, round: &mut Round) {
         let job = self.jobs.get(&spec.id);
-        let avoid = |r: &Room| r.machine.as_ref().is_some_and(|m| job.is_some_and(|j| j.avoids(m)));
+        let avoid = |r: &Room| {
+            r.machine.as_ref().is_some_and(|m| job.is_some_and(|j| self.avoids(now, j, m)))
+        };
         let mut could: Vec<(usize, u32)> = round
             .rooms
             .iter()
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -145,6 +145,7 @@
             Cause::Done => {
                 m.failed_jobs.clear();
                 m.probation_until = 0;
+                m.proved = true;
                 // Only runs seen from their start: one that an earlier leader launched has run for
                 // longer than we know, and would make all its like look slow.
                 let ours = run.attempt >> ATTEMPT_BITS == self.token;
@@ -159,8 +160,6 @@
                     }
                 }
                 let news = job.complete(run.task.index, run.attempt);
-                // It can be done: the failures were its machines'.
-                job.pause_until = 0;
                 if job.done.full() {
                     self.finished.insert(run.task.job);
                 } else if news {
@@ -168,22 +167,12 @@
                     let size = results_bytes(job.done.chunk(chunk).len());
                     self.results.put((run.task.job, chunk), size, false);
                 }
+                self.restore(now, run.task.job);
                 return;
             }
             Cause::Error => {
-                job.failed_on.insert(machine.to_string());
-                if job.suspect() {
-                    let doublings = (job.failed_on.len() as u32).saturating_sub(1).min(16);
-                    let pause = (FAIL_PAUSE_MS << doublings).min(FAIL_PAUSE_MOST_MS);
-                    job.pause_until = job.pause_until.max(now + pause);
-                } else {
-                    m.failed_jobs.insert(run.task.job);
-                    m.probation_until = now + PROBATION_MS;
-                    if m.failed_jobs.len() >= MACHINE_SUSPECT && !m.leaving {
-                        m.leaving = true;
-                        self.out.push(Effect::Note(format!("machine {machine} fails every job")));
-                    }
-                }
+                let ran = run.running_since.map_or(0, |since| now.saturating_sub(since));
+                self.on_failed(now, machine, run.task.job, ran);
             }
             Cause::NoRoom | Cause::Busy | Cause::Unknown => {
                 job.pause_until = job.pause_until.max(now + REFUSED_PAUSE_MS);
--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -209,6 +209,8 @@
     /// Jobs that failed here.
     pub failed_jobs: BTreeSet<JobId>,
     pub probation_until: Millis,
+    /// A task was done here, and none has failed since.
+    pub proved: bool,
     /// Images that it has fetched, as far as this term has seen.
     pub images: Arc<Images>,
 }
--- a/crates/latchtrack-core/src/placement.rs
+++ b/crates/latchtrack-core/src/placement.rs
@@ -91,6 +91,9 @@
 /// The parts of the queue, in their order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tier {
+    /// One task of a job that has shown nothing but failures, now and then: it takes next to nothing,
+    /// and if the failures were its machines', it is to get going again soon.
+    Trial,
     /// With a deadline, or an aim multiplying it, that can still be met.
     Deadline,
     /// With an aim of its class that can still be met.
