Late boots are judged by type and zone: waited for and tried again, not begun anew for ever

leader/boots.rs learns by type and zone. By the last eight rentals of which something can be told: if three quarters came, their median is the usual time, and later ones are counted on and waited for twice that long; if three quarters are missing the class is late: nothing more of it is rented but four machines each 20 s, four of the missing go back each 20 s, the rest are waited for up to eight boot times, and what is needed is rented elsewhere. Single late machines are treated as before.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -77,8 +77,22 @@
 pub const BOOT_LATE: f64 = 2.0;
 /// Times its boot time after which a machine that is not up is returned.
 pub const BOOT_NEVER: f64 = 4.0;
-/// ms added to both, for types that boot in no time.
+/// The same while most of its kind are late: "several times as long" may be longer, and whoever gives it
+/// back begins again.
+pub const BOOT_EVER: f64 = 8.0;
+/// ms added to these, for types that boot in no time.
 pub const BOOT_GRACE_MS: Millis = 10_000;
+/// s that a boot of a type is taken to last that the cloud does not name any more.
+pub const BOOT_UNKNOWN_S: f64 = 60.0;
+/// Rentals of a type in a zone by which its boots are judged, the last so many of which something can be
+/// told, for so many ms, and the fewest that say anything.
+pub const BOOTS_KEPT: usize = 8;
+pub const BOOT_MEMORY_MS: Millis = 300_000;
+pub const BOOTS_LEAST: usize = 4;
+/// Machines of a type and zone with late boots that are rented, and given back, at a time to see whether
+/// the trouble is over, and ms between two times: a few boots would cost less than one minute of waiting.
+pub const BOOTS_TRIED: usize = 4;
+pub const BOOT_TRIAL_MS: Millis = 20_000;
 /// ms a task that was refused or stopped waits before it is placed again.
 pub const REFUSED_PAUSE_MS: Millis = 1_000;
 /// ms the first pause of a failing job lasts; doubles with each further machine.
--- /dev/null
+++ b/crates/latchtrack-core/src/leader/boots.rs
@@ -0,0 +1,182 @@
+//! How long machines take to come up: learnt by type and zone, as like machines are decided as a class.
+//!
+//! Single machines that are late are replaced, and given back when they seem never to come. When most of
+//! a type in a zone are late, giving them back to rent the same again would begin their boots anew, for
+//! ever: they are waited for, what is needed meanwhile is rented elsewhere, and a few are rented now and
+//! then to see whether the trouble is over.
+
+use super::*;
+
+/// A type in a zone.
+type Class = (Arc<str>, Arc<str>);
+
+/// What is known of the boots of each class.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Boots {
+    /// Of the last rentals that came up: when the machine was rented, and how long it took.
+    came: BTreeMap<Class, BTreeSet<(Millis, Millis)>>,
+    /// ms that most boots take, as far as most have come to an end.
+    usual: BTreeMap<Class, Millis>,
+    /// Classes of which most machines are late now, with when a few were last rented or given back.
+    late: BTreeMap<Class, Trials>,
+    looked_at: Option<Millis>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Trials {
+    rented: Millis,
+    given_back: Millis,
+}
+
+impl Boots {
+    /// A machine is up, so long after its rental.
+    pub fn up(&mut self, now: Millis, m: &Machine) {
+        let took = now.saturating_sub(m.rented_at);
+        // One met by its report was rented at a time that we do not know.
+        if m.inherited || took == 0 {
+            return;
+        }
+        let came = self.came.entry(class_of(m)).or_default();
+        came.insert((m.rented_at, took));
+        if came.len() > BOOTS_KEPT {
+            came.pop_first();
+        }
+    }
+}
+
+fn class_of(m: &Machine) -> Class {
+    (m.kind.clone(), m.zone.clone())
+}
+
+/// Rented, and neither up nor given up.
+fn is_booting(m: &Machine) -> bool {
+    !m.up() && !m.inherited && !m.leaving
+}
+
+impl Cluster {
+    /// Looks once a second at what has come up and what has not.
+    pub(super) fn watch_boots(&mut self, now: Millis) {
+        if self.boots.looked_at.is_some_and(|at| now < at.saturating_add(ROUND_IDLE_MS)) {
+            return;
+        }
+        self.boots.looked_at = Some(now);
+        for came in self.boots.came.values_mut() {
+            came.retain(|(rented, took)| now < rented.saturating_add(*took + BOOT_MEMORY_MS));
+        }
+        self.judge_boots(now);
+        self.give_back_unborn(now);
+    }
+
+    /// Judges each class by its last rentals of which something can be told: those that came up, and those
+    /// that should have. Not by the last to come up: these are the late ones, however few.
+    fn judge_boots(&mut self, now: Millis) {
+        let mut told: BTreeMap<Class, Vec<(Millis, Option<Millis>)>> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| is_booting(m)) {
+            let due = boot_limit(&self.types, &m.kind, BOOT_LATE);
+            if now.saturating_sub(m.rented_at) > due {
+                told.entry(class_of(m)).or_default().push((m.rented_at, None));
+            }
+        }
+        for (class, came) in &self.boots.came {
+            let came = came.iter().map(|(rented, took)| (*rented, Some(*took)));
+            told.entry(class.clone()).or_default().extend(came);
+        }
+        let before = std::mem::take(&mut self.boots.late);
+        self.boots.usual.clear();
+        for (class, mut rentals) in told {
+            rentals.sort_unstable_by_key(|(rented, _)| std::cmp::Reverse(*rented));
+            rentals.truncate(BOOTS_KEPT);
+            let mut took: Vec<Millis> = rentals.iter().filter_map(|(_, took)| *took).collect();
+            let missing = rentals.len() - took.len();
+            if rentals.len() < BOOTS_LEAST {
+                continue;
+            }
+            if took.len() * 4 >= rentals.len() * 3 {
+                took.sort_unstable();
+                self.boots.usual.insert(class, took[took.len() / 2]);
+            } else if missing * 4 >= rentals.len() * 3 {
+                if !before.contains_key(&class) {
+                    let (kind, zone) = &class;
+                    let text =
+                        format!("boots of {kind} in {zone} are late, {missing} are waited for");
+                    self.out.push(Effect::Note(text));
+                }
+                let trials = before.get(&class).copied().unwrap_or_default();
+                self.boots.late.insert(class, trials);
+            }
+        }
+        for (kind, zone) in before.keys().filter(|class| !self.boots.late.contains_key(class)) {
+            self.out.push(Effect::Note(format!("boots of {kind} in {zone} are not late any more")));
+        }
+    }
+
+    /// Machines that seem never to come up go back; of a class that is late a few at a time, until none
+    /// can be hoped for.
+    fn give_back_unborn(&mut self, now: Millis) {
+        let mut unborn: Vec<(Millis, String)> = Vec::new();
+        for m in self.machines.values().filter(|m| is_booting(m)) {
+            let age = now.saturating_sub(m.rented_at);
+            if age > self.waited_for_ms(m) {
+                unborn.push((m.rented_at, m.name.to_string()));
+            }
+        }
+        unborn.sort();
+        let mut few: BTreeMap<Class, usize> = BTreeMap::new();
+        for (rented, name) in unborn {
+            let Some(m) = self.machines.get_mut(&name) else { continue };
+            let class = class_of(m);
+            let ever = boot_limit(&self.types, &m.kind, BOOT_EVER);
+            if let Some(trials) = self.boots.late.get_mut(&class) {
+                let few = few.entry(class).or_default();
+                let due = *few > 0 || now >= trials.given_back.saturating_add(BOOT_TRIAL_MS);
+                if now.saturating_sub(rented) <= ever && (!due || *few >= BOOTS_TRIED) {
+                    continue;
+                }
+                *few += 1;
+                trials.given_back = now;
+            }
+            m.leaving = true;
+            self.out.push(Effect::Note(format!("machine {name} never came up")));
+        }
+    }
+
+    /// How many machines of an offer may be rented: of a class that is late a few now and then, as more
+    /// of them would not help sooner.
+    pub(super) fn may_rent(&self, now: Millis, offer: &Offer) -> u32 {
+        match self.boots.late.get(&(offer.kind.as_str().into(), offer.zone.as_str().into())) {
+            Some(trials) if now < trials.rented.saturating_add(BOOT_TRIAL_MS) => 0,
+            Some(_) => BOOTS_TRIED as u32,
+            None => HIRE_MOST,
+        }
+    }
+
+    pub(super) fn rented(&mut self, now: Millis, offer: &Offer) {
+        let class = (offer.kind.as_str().into(), offer.zone.as_str().into());
+        if let Some(trials) = self.boots.late.get_mut(&class) {
+            trials.rented = now;
+        }
+    }
+
+    /// ms that boots of the machine's class have lately taken, 0 if too few were seen.
+    fn usual_boot(&self, m: &Machine) -> f64 {
+        self.boots.usual.get(&class_of(m)).copied().unwrap_or(0) as f64
+    }
+
+    /// Age up to which a machine that is not up is counted on.
+    pub(super) fn counted_on_ms(&self, m: &Machine) -> Millis {
+        let limit = boot_limit(&self.types, &m.kind, BOOT_LATE);
+        limit.max((self.usual_boot(m) * BOOT_LATE) as Millis)
+    }
+
+    /// Age from which a machine that is not up may be given back.
+    fn waited_for_ms(&self, m: &Machine) -> Millis {
+        let limit = boot_limit(&self.types, &m.kind, BOOT_NEVER);
+        limit.max((self.usual_boot(m) * BOOT_LATE) as Millis)
+    }
+}
+
+/// So many times what the cloud says a boot of this type takes.
+fn boot_limit(types: &[MachineType], kind: &str, times: f64) -> Millis {
+    let nominal = type_named(types, kind).map_or(BOOT_UNKNOWN_S, |t| t.boot_s.max(0.0));
+    ((nominal * times * 1000.0) as Millis).saturating_add(BOOT_GRACE_MS)
+}
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -159,11 +159,6 @@
         type_named(&self.types, kind)
     }
 
-    pub(super) fn boot_limit(&self, kind: &str, times: f64) -> Millis {
-        let boot_s = self.type_of(kind).map_or(60.0, |t| t.boot_s);
-        ((boot_s * times * 1000.0) as Millis).saturating_add(BOOT_GRACE_MS)
-    }
-
     /// For how long a machine that should speak has been silent while we listened and its zone was
     /// not quiet: when a cut ends, one machine is heard before the others.
     fn silence(&self, now: Millis, m: &Machine) -> Option<Millis> {
@@ -329,11 +324,7 @@
     pub(super) fn watch_idle(&mut self, now: Millis) {
         let mut back = Vec::new();
         let probe_ms = self.policy.probe_ms();
-        let limits: BTreeMap<String, Millis> = self
-            .types
-            .iter()
-            .map(|t| (t.name.clone(), self.boot_limit(&t.name, BOOT_NEVER)))
-            .collect();
+        self.watch_boots(now);
         for m in self.machines.values_mut().filter(|m| !m.deleting) {
             let no_runs = !m.runs.values().any(Run::live);
             // A result that is not stored is lost with its machine.
@@ -341,13 +332,6 @@
                 r.phase == Phase::Ended(Cause::Done)
                     && self.jobs.get(&r.task.job).is_some_and(|j| !j.stored.get(r.task.index))
             });
-            if !m.up() && !m.inherited && !m.leaving {
-                let limit = limits.get(&*m.kind).copied().unwrap_or(BOOT_GRACE_MS * 6);
-                if now.saturating_sub(m.rented_at) > limit {
-                    m.leaving = true;
-                    self.out.push(Effect::Note(format!("machine {} never came up", m.name)));
-                }
-            }
             // A silent one is not idle: it may be working, or cut off, and is judged by its silence.
             let quiet = m.silent_for(now, probe_ms);
             if m.up() && no_runs && !m.leaving && !quiet {
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -8,6 +8,7 @@
 //! - a launch whose direct call was never answered may execute later, so its attempt is never
 //!   forgotten in that session.
 
+mod boots;
 mod doubt;
 mod fleet;
 mod order;
@@ -19,7 +20,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
-use fleet::new_machine;
+use boots::Boots;
+use fleet::{new_machine, type_named};
 use order::Turn;
 use placing::Shapes;
 use reports::stop_runs_of;
@@ -328,6 +330,7 @@
     rotate: usize,
     listed_at: Option<Millis>,
     finished: BTreeSet<JobId>,
+    boots: Boots,
     /// Jobs that show nothing but failures.
     doubted: BTreeSet<JobId>,
     /// Values of the machine set that can't be read: until every lease of before this term has run
@@ -437,6 +440,7 @@
             rotate: token as usize,
             listed_at: None,
             finished: BTreeSet::new(),
+            boots: Boots::default(),
             doubted: BTreeSet::new(),
             garbled,
             fleet,
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -77,7 +77,7 @@
         let t = self.type_of(&m.kind)?;
         let used = m.used()?;
         // One on its way in a zone that is not heard will not be of use soon.
-        let late = || now.saturating_sub(m.rented_at) > self.boot_limit(&m.kind, BOOT_LATE);
+        let late = || now.saturating_sub(m.rented_at) > self.counted_on_ms(m);
         if !m.up() && (self.quiet.contains(&m.zone) || late()) {
             return None;
         }
--- a/crates/latchtrack-core/src/leader/renting.rs
+++ b/crates/latchtrack-core/src/leader/renting.rs
@@ -29,6 +29,7 @@
                 && (cheapest || !spare)
                 && self.exhausted.get(o).is_none_or(|until| *until <= now)
                 && !self.quiet.contains(o.zone.as_str())
+                && self.may_rent(now, o) > 0
         }) else {
             return 0;
         };
@@ -40,7 +41,9 @@
             u32::MAX => round.shapes[shape].to_come,
             _ => 0,
         };
-        let number = left.saturating_add(alike).div_ceil(per_machine).min(HIRE_MOST);
+        let number =
+            left.saturating_add(alike).div_ceil(per_machine).min(self.may_rent(now, &offer));
+        self.rented(now, &offer);
         self.next_hire += 1;
         self.rotate = self.rotate.wrapping_add(1);
         let hire = format!("h-{}-{}", self.token, self.next_hire);
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -3,7 +3,6 @@
 use std::collections::btree_map::Entry;
 use std::collections::HashSet;
 
-use super::fleet::type_named;
 use super::*;
 
 impl Cluster {
@@ -68,6 +67,7 @@
         m.notice_at = r.notice_s.map(|s| now.saturating_add((s.max(0.0) * 1000.0) as Millis));
         if first {
             self.replan = true;
+            self.boots.up(now, m);
             if !m.stored {
                 let size = stored_of(m).bytes();
                 self.fleet.put(r.machine.clone(), size, true);
--- a/crates/latchtrack-core/tests/simulation.rs
+++ b/crates/latchtrack-core/tests/simulation.rs
@@ -263,6 +263,52 @@
     ends_well("hanging", BUSY, 0..12, &plan);
 }
 
+/// All nodes away for twice the workers' lease while machines boot late or never, and again all but one:
+/// all work is lost with the sessions, and starts again on the machines that are there.
+#[test]
+fn nodes_away_beyond_a_lease_while_boots_are_late_lose_no_job() {
+    use Planned::*;
+    let plan = [
+        (2_000, Boots(5.0, 0.2, 40_000)),
+        (30_000, NodesDown(5, 30_000)),
+        (75_000, NodesDown(4, 35_000)),
+        (80_000, Boots(0.01, 0.0, 30_000)),
+        (112_000, NodesDown(1, 25_000)),
+    ];
+    let terms = ends_well("nodes away", BUSY, 0..8, &plan);
+    assert!(terms >= 8 * 3, "{terms} terms");
+    let plan = [
+        (1_500, Boots(5.0, 0.2, 30_000)),
+        (15_000, NodesDown(5, 30_000)),
+        (60_000, FreezeLeader(12_000)),
+    ];
+    ends_well("fleet, nodes away", FLEET, 1..2, &plan);
+}
+
+/// Many jobs submitted with a mistake, and then faulty machines beside: good jobs are done, and what
+/// the broken ones cost is bounded, through changes of leader too.
+#[test]
+fn broken_jobs_cost_little_and_hold_up_nobody() {
+    use Planned::*;
+    let plan = [
+        (10_000, Mistakes(12)),
+        (30_000, Sick(0.3)),
+        (60_000, CrashAll),
+        (61_000, Mistakes(6)),
+        (90_000, NodesDown(1, 20_000)),
+    ];
+    for seed in 0..6 {
+        let mut world = World::sized(seed, Broken::Nothing, BUSY).planned(&plan);
+        world.run();
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.unfinished(), Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.poorly_served(), Vec::<String>::new(), "seed {seed}");
+        // 18 of up to six tasks, which start together once in each term at most, and then one a minute.
+        let most = (18 + 30) * u64::from(BUSY.tasks) + 200;
+        assert!(world.failures < most, "{} failures, {most} at most", world.failures);
+    }
+}
+
 /// The same over a fleet, with chance troubles beside.
 #[test]
 fn a_fleet_outlives_a_cut_zone_a_standstill_and_an_outage() {
--- a/crates/latchtrack-core/tests/world/cloud.rs
+++ b/crates/latchtrack-core/tests/world/cloud.rs
@@ -22,9 +22,12 @@
         let mut names = Vec::new();
         for _ in 0..free {
             self.next_machine += 1;
+            self.rented += 1;
             let name = format!("n-{:06}", self.next_machine);
-            let never = self.chance(0.03);
-            let boot = self.rng.random_range(500..9_000);
+            let (times, never, until) = self.boots;
+            let (times, never) = if self.now < until { (times, never) } else { (1.0, 0.03) };
+            let never = self.chance(never);
+            let boot = (self.rng.random_range(500..9_000) as f64 * times) as u64;
             let worker = Worker {
                 kind: if offer.kind == "small" { "small" } else { "large" },
                 zone: ZONES.iter().find(|z| **z == offer.zone).unwrap_or(&ZONES[0]),
--- a/crates/latchtrack-core/tests/world/mod.rs
+++ b/crates/latchtrack-core/tests/world/mod.rs
@@ -105,6 +105,14 @@
     Hang(f64, u64),
     /// A guest submits all that it has.
     Guests,
+    /// So many nodes, the leader first, end and do not come back for so many ms.
+    NodesDown(usize, u64),
+    /// For so many ms boots take so many times as long, and so many of them never end.
+    Boots(f64, f64, u64),
+    /// So many jobs that fail on every machine.
+    Mistakes(usize),
+    /// A part of the machines fails every task.
+    Sick(f64),
 }
 
 /// Which guard is broken.
@@ -301,6 +309,8 @@
     plan: Vec<(u64, Planned)>,
     // Cloud.
     cloud_down_until: u64,
+    /// Times the usual boot, chance of none, and until when.
+    boots: (f64, f64, u64),
     workers: BTreeMap<String, Worker>,
     hires: BTreeMap<String, Vec<String>>,
     next_machine: u64,
@@ -313,6 +323,9 @@
     pub copies: u64,
     pub puts: u64,
     pub calls: u64,
+    /// Machines rented, and tasks that failed.
+    pub rented: u64,
+    pub failures: u64,
     pub most_up: usize,
     pub rounds: u64,
     /// Most runs and jobs in a leader's picture, and most open jobs at that time.
@@ -382,6 +395,7 @@
             zone_cut: None,
             plan: Vec::new(),
             cloud_down_until: 0,
+            boots: (1.0, 0.03, 0),
             workers: BTreeMap::new(),
             hires: BTreeMap::new(),
             next_machine: 0,
@@ -393,6 +407,8 @@
             copies: 0,
             puts: 0,
             calls: 0,
+            rented: 0,
+            failures: 0,
             most_up: 0,
             rounds: 0,
             most_runs: 0,
--- a/crates/latchtrack-core/tests/world/users.rs
+++ b/crates/latchtrack-core/tests/world/users.rs
@@ -30,6 +30,23 @@
                     self.zone_cut = Some((Self::zone_of(leader + 1), now + ms));
                 }
                 Planned::Guests => self.guests(),
+                Planned::NodesDown(many, ms) => {
+                    for i in 0..many {
+                        let n = (leader + i) % nodes;
+                        self.crash(n);
+                        self.nodes[n].back_at = now + ms;
+                    }
+                }
+                Planned::Boots(times, never, ms) => self.boots = (times, never, now + ms),
+                Planned::Mistakes(many) => (0..many).for_each(|_| self.submit_with(1.0)),
+                Planned::Sick(share) => {
+                    for name in self.workers.keys().cloned().collect::<Vec<_>>() {
+                        let sick = self.rng.random_bool(share);
+                        if let Some(w) = self.workers.get_mut(&name) {
+                            w.sick |= sick;
+                        }
+                    }
+                }
                 Planned::Hang(share, ms) => {
                     for name in self.workers.keys().cloned().collect::<Vec<_>>() {
                         if self.rng.random_bool(share) {
@@ -136,6 +153,10 @@
     }
 
     pub(super) fn submit(&mut self) {
+        self.submit_with(0.08);
+    }
+
+    fn submit_with(&mut self, mistakes: f64) {
         self.next_job += 1;
         let id = JobId(self.next_job);
         let rng = &mut self.rng;
@@ -165,7 +186,7 @@
         if spec.one_zone {
             spec.spread = false;
         }
-        self.accept(spec, 0.08);
+        self.accept(spec, mistakes);
     }
 
     /// What a guest brings: idle-time work of long tasks, an array of very many, single small tasks.
--- a/crates/latchtrack-core/tests/world/workers.rs
+++ b/crates/latchtrack-core/tests/world/workers.rs
@@ -107,7 +107,10 @@
                     self.check_start(name, key.0);
                     (Phase::Running, now + run)
                 }
-                Phase::Running if w.sick || mistaken => (Phase::Ended(Cause::Error), u64::MAX),
+                Phase::Running if w.sick || mistaken => {
+                    self.failures += 1;
+                    (Phase::Ended(Cause::Error), u64::MAX)
+                }
                 Phase::Running => {
                     self.completed.insert(key.0);
                     if let Some(w) = self.workers.get_mut(name) {
