A node writes more than its share while it waits and the state service refuses nothing

The followers' shares lay idle meanwhile.

Puts of a node grow by 1.3 each second in which a write waited, to the whole limit at most, and fall back to its share at the first refusal, for 8 s at least. Leases are no puts: a refusal costs a turn of the write that got it, nothing else.

The debug line of the leader shows unsaved, doubted and late.

Ruled out: larger fixed shares for the leader, which the accepting nodes miss when only one is left.

--- a/crates/latchtrack-core/src/leader/boots.rs
+++ b/crates/latchtrack-core/src/leader/boots.rs
@@ -140,6 +140,13 @@
         }
     }
 
+    /// How many machines are not up though they should be.
+    pub(super) fn late_boots(&self, now: Millis) -> usize {
+        let late =
+            |m: &&Machine| is_booting(m) && now.saturating_sub(m.rented_at) > self.counted_on_ms(m);
+        self.machines.values().filter(late).count()
+    }
+
     /// How many machines of an offer may be rented: of a class that is late a few now and then, as more
     /// of them would not help sooner.
     pub(super) fn may_rent(&self, now: Millis, offer: &Offer) -> u32 {
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -292,7 +292,12 @@
 pub struct Summary {
     pub up: usize,
     pub promised: usize,
+    /// Not up though it should be.
+    pub late: usize,
     pub unsettled: usize,
+    /// Jobs in doubt, and done ones of which the record does not say so yet.
+    pub doubted: usize,
+    pub unsaved: usize,
     pub waiting: u64,
     pub cpus: f64,
     pub cpus_assigned: f64,
@@ -483,8 +488,13 @@
     }
 
     /// What the cluster looks like, for the log.
-    pub fn summary(&self) -> Summary {
-        let mut s = Summary::default();
+    pub fn summary(&self, now: Millis) -> Summary {
+        let mut s = Summary {
+            doubted: self.doubted.len(),
+            unsaved: self.finished.len(),
+            late: self.late_boots(now),
+            ..Summary::default()
+        };
         for m in self.machines.values() {
             s.unsettled += usize::from(m.unsettled());
             if !m.up() {
--- a/crates/latchtrack-core/tests/zones.rs
+++ b/crates/latchtrack-core/tests/zones.rs
@@ -95,7 +95,7 @@
     fn settled() -> Fleet {
         let mut f = Fleet::inherited();
         f.run(3_000, |_| false);
-        assert_eq!(f.c.summary().unsettled, 0);
+        assert_eq!(f.c.summary(0).unsettled, 0);
         f
     }
 
@@ -200,7 +200,7 @@
     f.session.extend((0..3 * PER_ZONE).filter(|i| in_b(*i)).map(|i| (i, 2)));
     f.run(3_000, |_| false);
     assert_eq!(f.returned, Vec::<u64>::new());
-    assert_eq!(f.c.summary().up, 3 * PER_ZONE as usize);
+    assert_eq!(f.c.summary(0).up, 3 * PER_ZONE as usize);
     assert!(f.notes.iter().any(|n| n == "zone b is not quiet any more"), "{:?}", f.notes);
 }
 
@@ -265,7 +265,7 @@
     f.session.extend((0..3 * PER_ZONE).map(|i| (i, 2)));
     f.run(3_000, |_| false);
     assert_eq!((f.returned.len(), f.resigned.len()), (0, 0), "{:?}", f.notes);
-    assert_eq!(f.c.summary().up, 3 * PER_ZONE as usize);
+    assert_eq!(f.c.summary(0).up, 3 * PER_ZONE as usize);
 }
 
 /// Taken back while it booted, a machine says nothing, and counted as room on its way for four
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -450,7 +450,7 @@
                 self.cache.do_send(Counts(jobs.clone()));
                 let overdue = c.overdue(now);
                 self.peers.do_send(Tell(Frame::Progress { token: c.token(), jobs, overdue }));
-                tracing::debug!("{:?}", c.summary());
+                tracing::debug!("{:?}", c.summary(now));
             }
         }
     }
--- a/crates/latchtrack/src/actors/store.rs
+++ b/crates/latchtrack/src/actors/store.rs
@@ -157,6 +157,54 @@
     }
 }
 
+/// What a node may write a second: its share of the limit, and more while it has to wait and nobody is
+/// over the limit, so that what others leave is used. The service itself says when it is too much, and
+/// refuses then what comes, nothing else: leases are no writes.
+#[derive(Debug)]
+struct Portion {
+    share: f64,
+    limit: f64,
+    times: f64,
+    /// Since the last look.
+    waited: bool,
+    over: bool,
+    looked_at: u64,
+    /// Not to grow before.
+    calm_at: u64,
+}
+
+impl Portion {
+    fn new(limit: f64, share: f64, now: u64) -> Self {
+        Portion {
+            share,
+            limit,
+            times: 1.0,
+            waited: false,
+            over: false,
+            looked_at: now,
+            calm_at: now,
+        }
+    }
+
+    /// Puts a second now.
+    fn rate(&mut self, now: u64) -> f64 {
+        if now >= self.looked_at + PORTION_MS {
+            self.looked_at = now;
+            let most = (self.limit * LIMIT_USED / self.share).max(1.0);
+            if self.over {
+                self.times = 1.0;
+                self.calm_at = now + PORTION_CALM_MS;
+            } else if !self.waited {
+                self.times = (self.times / PORTION_GROWS).max(1.0);
+            } else if now >= self.calm_at {
+                self.times = (self.times * PORTION_GROWS).min(most);
+            }
+            (self.over, self.waited) = (false, false);
+        }
+        self.share * self.times
+    }
+}
+
 pub struct Store {
     client: awc::Client,
     base: String,
@@ -165,6 +213,7 @@
     nodes: f64,
     requests: Bucket,
     writes: Bucket,
+    portion: Portion,
     queues: [VecDeque<Waiting>; 4],
     open: usize,
     /// A wake-up is set.
@@ -185,6 +234,7 @@
             nodes,
             requests: Bucket::new(rps * share, rps * share),
             writes: Bucket::new(write_rps * share, burst(write_rps, share)),
+            portion: Portion::new(write_rps, write_rps * share, now_ms()),
             queues: Default::default(),
             open: 0,
             waking: false,
@@ -195,6 +245,7 @@
     fn pump(&mut self, ctx: &mut Context<Self>) {
         self.requests.fill();
         self.writes.fill();
+        self.writes.rate = self.portion.rate(now_ms());
         while self.open < STORE_OPEN {
             let now = now_ms();
             for q in &mut self.queues {
@@ -217,6 +268,7 @@
                     }
                     let need = writes.min(self.writes.most);
                     if self.writes.have + 1e-9 < need {
+                        self.portion.waited = true;
                         wait =
                             Some(((need - self.writes.have) / self.writes.rate * 1e3) as u64 + 1);
                         continue;
@@ -262,6 +314,7 @@
             let over = matches!(&result, Err(e) if *e == OVER);
             if over && now_ms() + OVER_WAIT_MS < w.request.deadline {
                 if w.request.ask.writes() > 0.0 {
+                    act.portion.over = true;
                     act.writes.have = act.writes.have.min(0.0);
                 }
                 let class = w.request.class as usize;
@@ -436,6 +489,7 @@
         let share = LIMIT_USED / (self.nodes + 1.0) * if msg.leading { 2.0 } else { 1.0 };
         self.requests.set(self.rps * share, self.rps * share);
         self.writes.set(self.write_rps * share, burst(self.write_rps, share));
+        self.portion = Portion::new(self.write_rps, self.write_rps * share, now_ms());
     }
 }
 
@@ -478,6 +532,52 @@
 mod tests {
     use super::*;
 
+    /// Five nodes on one limit, each with writes to make or none: what one needs it gets if the others
+    /// leave it, and if all need more than there is, few are refused.
+    #[test]
+    fn what_others_leave_is_used_and_the_limit_is_kept() {
+        let run = |needs: [f64; 5]| {
+            let limit = 15.0;
+            let mut nodes: Vec<(Portion, f64, f64)> = (0..5)
+                .map(|n| {
+                    let parts = if n == 0 { 2.0 } else { 1.0 };
+                    (Portion::new(limit, limit * LIMIT_USED * parts / 6.0, 0), 0.0, 0.0)
+                })
+                .collect();
+            let (mut service, mut made, mut refused) = (limit, [0u32; 5], 0);
+            for step in 0..6_000u64 {
+                service = (service + limit / 100.0).min(limit);
+                for (n, (portion, have, queue)) in nodes.iter_mut().enumerate() {
+                    *queue += needs[n] / 100.0;
+                    *have = (*have + portion.rate(step * 10) / 100.0).min(limit / 2.0);
+                    if *queue < 1.0 {
+                        continue;
+                    }
+                    if *have < 1.0 {
+                        portion.waited = true;
+                    } else if service >= 1.0 {
+                        service -= 1.0;
+                        *have -= 1.0;
+                        *queue -= 1.0;
+                        made[n] += 1;
+                    } else {
+                        portion.over = true;
+                        *have = 0.0;
+                        refused += 1;
+                    }
+                }
+            }
+            (made, refused)
+        };
+        // A minute; the leader alone would have 4.5 a second by its share.
+        let (made, refused) = run([9.0, 0.5, 0.5, 0.5, 0.5]);
+        assert!(made[0] >= 9 * 60 - 30 && refused == 0, "{made:?}, {refused} refused");
+        let (made, refused) = run([20.0; 5]);
+        let all: u32 = made.iter().sum();
+        assert!((810..=915).contains(&all) && refused < 120, "{made:?}, {refused} refused");
+        assert!(made.iter().all(|n| *n >= 100), "{made:?}");
+    }
+
     #[test]
     fn a_bucket_never_gives_more_than_its_rate() {
         let mut b = Bucket { rate: 10.0, most: 10.0, have: 10.0, at: now_ms() };
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -58,6 +58,12 @@
 pub const STORE_QUEUE: usize = 256;
 /// Part of the limits left unused: our clock and the service's may differ in what a second is.
 pub const LIMIT_USED: f64 = 0.9;
+/// ms between two looks whether a node may write more than its share, and by what that grows each time:
+/// twice as much within three seconds.
+pub const PORTION_MS: u64 = 1_000;
+pub const PORTION_GROWS: f64 = 1.3;
+/// ms after a refusal in which it does not grow: all need what they have.
+pub const PORTION_CALM_MS: u64 = 8_000;
 /// Part of a second's writes of all nodes that one may make at once after a pause.
 pub const BURST_PART: f64 = 0.5;
 /// ms after which a request that was over a limit is sent again.
