Boots are judged by the last machines by name, if a part of the fleet is missing

The list tells which machines are up though nobody hears them: they are cut off, not late. Names are the order of creation, so the machines of earlier terms speak too, whose boots this leader has not seen; and a class is late only if 3% of all machines are missing.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -89,6 +89,9 @@
 pub const BOOTS_KEPT: usize = 8;
 pub const BOOT_MEMORY_MS: Millis = 300_000;
 pub const BOOTS_LEAST: usize = 4;
+/// Part of all machines that must be missing as well: where the others of a zone were given up, the few
+/// whose boots never ended are all that is left of it.
+pub const BOOTS_MISSING: f64 = 0.03;
 /// Machines of a type and zone with late boots that are rented, and given back, at a time to see whether
 /// the trouble is over, and ms between two times: a few boots would cost less than one minute of waiting.
 pub const BOOTS_TRIED: usize = 4;
--- a/crates/latchtrack-core/src/leader/boots.rs
+++ b/crates/latchtrack-core/src/leader/boots.rs
@@ -13,9 +13,9 @@
 /// What is known of the boots of each class.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Boots {
-    /// Of the last rentals that came up: when the machine was rented, and how long it took.
-    came: BTreeMap<Class, BTreeSet<(Millis, Millis)>>,
-    /// ms that most boots take, as far as most have come to an end.
+    /// How long those took that came up in this term, the last by name, with when they were up.
+    came: BTreeMap<Class, BTreeMap<Arc<str>, (Millis, Millis)>>,
+    /// ms that most boots take, by these.
     usual: BTreeMap<Class, Millis>,
     /// Classes of which most machines are late now, with when a few were last rented or given back.
     late: BTreeMap<Class, Trials>,
@@ -37,7 +37,7 @@
             return;
         }
         let came = self.came.entry(class_of(m)).or_default();
-        came.insert((m.rented_at, took));
+        came.insert(m.name.clone(), (now, took));
         if came.len() > BOOTS_KEPT {
             came.pop_first();
         }
@@ -48,11 +48,17 @@
     (m.kind.clone(), m.zone.clone())
 }
 
-/// Rented, and neither up nor given up.
-fn is_booting(m: &Machine) -> bool {
+/// Rented, and neither heard nor given up.
+fn is_awaited(m: &Machine) -> bool {
     !m.up() && !m.inherited && !m.leaving
 }
 
+/// The same, and not up as far as the list tells: one that is up and not heard is cut off, which says
+/// nothing of boots.
+fn is_booting(m: &Machine) -> bool {
+    is_awaited(m) && !m.booted
+}
+
 impl Cluster {
     /// Looks once a second at what has come up and what has not.
     pub(super) fn watch_boots(&mut self, now: Millis) {
@@ -60,50 +66,51 @@
             return;
         }
         self.boots.looked_at = Some(now);
-        for came in self.boots.came.values_mut() {
-            came.retain(|(rented, took)| now < rented.saturating_add(*took + BOOT_MEMORY_MS));
+        self.boots.usual.clear();
+        for (class, came) in &mut self.boots.came {
+            came.retain(|_, (at, _)| now < at.saturating_add(BOOT_MEMORY_MS));
+            let mut took: Vec<Millis> = came.values().map(|(_, took)| *took).collect();
+            took.sort_unstable();
+            if took.len() >= BOOTS_LEAST {
+                self.boots.usual.insert(class.clone(), took[took.len() / 2]);
+            }
         }
         self.judge_boots(now);
         self.give_back_unborn(now);
     }
 
-    /// Judges each class by its last rentals of which something can be told: those that came up, and those
-    /// that should have. Not by the last to come up: these are the late ones, however few.
+    /// Judges each class by its last rentals of which something can be told: those that are up, and those
+    /// that should be. The last by their names, which is the order of creation: a few stragglers of long
+    /// ago, which are all that a new leader sees boot, say nothing when others came after them.
     fn judge_boots(&mut self, now: Millis) {
-        let mut told: BTreeMap<Class, Vec<(Millis, Option<Millis>)>> = BTreeMap::new();
-        for m in self.machines.values().filter(|m| is_booting(m)) {
+        let mut told: BTreeMap<Class, (usize, usize, usize)> = BTreeMap::new();
+        for m in
+            self.machines.values().rev().filter(|m| !m.leaving && !self.quiet.contains(&m.zone))
+        {
             let due = boot_limit(&self.types, &m.kind, BOOT_LATE);
-            if now.saturating_sub(m.rented_at) > due {
-                told.entry(class_of(m)).or_default().push((m.rented_at, None));
+            let missing = is_booting(m) && now.saturating_sub(m.rented_at) > due;
+            if !missing && is_awaited(m) {
+                continue;
+            }
+            let (of, absent, all_absent) = told.entry(class_of(m)).or_default();
+            *all_absent += usize::from(missing);
+            if *of < BOOTS_KEPT {
+                *of += 1;
+                *absent += usize::from(missing);
             }
-        }
-        for (class, came) in &self.boots.came {
-            let came = came.iter().map(|(rented, took)| (*rented, Some(*took)));
-            told.entry(class.clone()).or_default().extend(came);
         }
         let before = std::mem::take(&mut self.boots.late);
-        self.boots.usual.clear();
-        for (class, mut rentals) in told {
-            rentals.sort_unstable_by_key(|(rented, _)| std::cmp::Reverse(*rented));
-            rentals.truncate(BOOTS_KEPT);
-            let mut took: Vec<Millis> = rentals.iter().filter_map(|(_, took)| *took).collect();
-            let missing = rentals.len() - took.len();
-            if rentals.len() < BOOTS_LEAST {
+        let least = BOOTS_LEAST.max((self.machines.len() as f64 * BOOTS_MISSING) as usize);
+        for (class, (of, missing, all_missing)) in told {
+            if all_missing < least || missing * 4 < of * 3 {
                 continue;
             }
-            if took.len() * 4 >= rentals.len() * 3 {
-                took.sort_unstable();
-                self.boots.usual.insert(class, took[took.len() / 2]);
-            } else if missing * 4 >= rentals.len() * 3 {
-                if !before.contains_key(&class) {
-                    let (kind, zone) = &class;
-                    let text =
-                        format!("boots of {kind} in {zone} are late, {missing} are waited for");
-                    self.out.push(Effect::Note(text));
-                }
-                let trials = before.get(&class).copied().unwrap_or_default();
-                self.boots.late.insert(class, trials);
+            if !before.contains_key(&class) {
+                let (kind, zone) = &class;
+                self.out.push(Effect::Note(format!("boots of {kind} in {zone} are late")));
             }
+            let trials = before.get(&class).copied().unwrap_or_default();
+            self.boots.late.insert(class, trials);
         }
         for (kind, zone) in before.keys().filter(|class| !self.boots.late.contains_key(class)) {
             self.out.push(Effect::Note(format!("boots of {kind} in {zone} are not late any more")));
@@ -114,7 +121,7 @@
     /// can be hoped for.
     fn give_back_unborn(&mut self, now: Millis) {
         let mut unborn: Vec<(Millis, String)> = Vec::new();
-        for m in self.machines.values().filter(|m| is_booting(m)) {
+        for m in self.machines.values().filter(|m| is_awaited(m)) {
             let age = now.saturating_sub(m.rented_at);
             if age > self.waited_for_ms(m) {
                 unborn.push((m.rented_at, m.name.to_string()));
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -87,6 +87,7 @@
             }
             match self.machines.get_mut(&l.name) {
                 Some(m) => {
+                    m.booted |= l.running;
                     if l.failed && !m.leaving {
                         m.leaving = true;
                         self.out.push(Effect::Note(format!("machine {} failed", l.name)));
@@ -97,6 +98,7 @@
                     // Not to be asked before it speaks: it may be booting.
                     m.rented_at = now.saturating_sub(l.age_ms);
                     m.leaving = l.failed;
+                    m.booted = l.running;
                     self.machines.insert(l.name.clone(), m);
                     self.replan = true;
                     self.out
@@ -369,6 +371,7 @@
         spot,
         addr: None,
         rented_at: now,
+        booted: false,
         stored: false,
         inherited: false,
         newest: (0, 0),
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -169,6 +169,8 @@
     pub zone: String,
     pub spot: bool,
     pub failed: bool,
+    /// Up, as far as the cloud knows: its worker may not have been heard yet.
+    pub running: bool,
     pub age_ms: Millis,
 }
 
--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -178,6 +178,8 @@
     pub spot: bool,
     pub addr: Option<String>,
     pub rented_at: Millis,
+    /// The list has it as up.
+    pub booted: bool,
     /// In the stored set; nothing is launched before.
     pub stored: bool,
     /// In the stored set when this term began: until it is seen to hold our token, an earlier
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -131,6 +131,7 @@
             zone: "a".into(),
             spot: true,
             failed: false,
+            running: false,
             age_ms: 50_000,
         });
         Event::Listed(all.collect())
@@ -281,6 +282,7 @@
         zone: "z".into(),
         spot: false,
         failed: false,
+        running: false,
         age_ms: u64::MAX,
     };
     c.handle(2_200, Event::Listed(vec![listed]));
--- a/crates/latchtrack-core/tests/world/nodes.rs
+++ b/crates/latchtrack-core/tests/world/nodes.rs
@@ -74,6 +74,7 @@
                     zone: w.zone.into(),
                     spot: w.spot,
                     failed: !w.alive,
+                    running: w.alive,
                     age_ms: self.now - w.up_at,
                 });
             }
--- a/crates/latchtrack-core/tests/zones.rs
+++ b/crates/latchtrack-core/tests/zones.rs
@@ -279,6 +279,7 @@
         zone: zone(n),
         spot: true,
         failed: false,
+        running: false,
         age_ms: 2_000,
     };
     let all = |n: u64| Event::Listed((0..n).map(listed).collect());
--- a/crates/latchtrack/src/wire/cloud.rs
+++ b/crates/latchtrack/src/wire/cloud.rs
@@ -105,6 +105,7 @@
             zone: l.zone,
             spot: l.spot.unwrap_or(false),
             failed: l.status == "failed",
+            running: l.status == "running",
             age_ms: (l.age_s.unwrap_or(0.0).max(0.0) * 1000.0) as u64,
         }
     }
