--- a/crates/latchtrack-core/src/leader/order.rs
+++ b/crates/latchtrack-core/src/leader/order.rs
@@ -116,8 +116,8 @@
 
     /// In which tier of the queue a job stands, and when it is due on the local clock: jobs with
     /// a deadline of their own first, then those whose class has an aim, each by the next that
-    /// can still be met; then the others; then those that have missed theirs, which can no longer
-    /// be late but would make others so; last what is of the lowest priority and has no aim at all.
+    /// can still be met; then the others; then those that can't all be in time, with those that have
+    /// missed theirs already; last what is of the lowest priority and has no aim at all.
     fn due(&self, now: Millis, job: &Job) -> (Tier, Millis) {
         let own = job.spec.deadline_s.map(|d| (d * 1000.0) as Millis);
         let aims = self.policy.aims.iter().filter(|a| a.class == job.spec.class);
@@ -135,13 +135,12 @@
         match dues.iter().min() {
             Some(ms) if own.is_some() => (Tier::Deadline, job.submitted_at.saturating_add(*ms)),
             Some(ms) => (Tier::Aim, job.submitted_at.saturating_add(*ms)),
-            None => (Tier::Missed, 0),
+            None => (Tier::Aside, work_ms(job) as Millis),
         }
     }
 
     /// The jobs that step back because not all can be in time: see [`placement::set_aside`].
     fn step_back(&self, now: Millis, order: &mut [(Rank, JobId)], total: &Demand) {
-        let cpu_ms = |spec: &JobSpec, n: f64| spec.demand.cpus * n * spec.estimate_s * 1000.0;
         // What runs now takes its room for half its estimate more, on average.
         let running: f64 = self
             .machines
@@ -154,7 +153,7 @@
             .iter()
             .filter(|(rank, _)| rank.tier == Tier::Deadline)
             .filter_map(|(_, id)| self.jobs.get(id))
-            .map(|job| cpu_ms(&job.spec, f64::from(job.waiting())))
+            .map(work_ms)
             .sum();
         let aims = || order.iter().enumerate().filter(|(_, (rank, _))| rank.tier == Tier::Aim);
         let queue: Vec<placement::Asked> = aims()
@@ -163,7 +162,7 @@
                 Some(placement::Asked {
                     left_ms: rank.due.saturating_sub(now) as f64,
                     run_ms: job.spec.estimate_s * 1000.0,
-                    work: cpu_ms(&job.spec, f64::from(job.waiting())),
+                    work: work_ms(job),
                 })
             })
             .collect();
@@ -173,9 +172,18 @@
             if aside {
                 let rank = &mut order[place].0;
                 rank.tier = Tier::Aside;
-                // Among themselves the least work first: that still brings the most in.
                 rank.due = asked.work as Millis;
             }
         }
     }
 }
+
+/// CPU-ms of so many tasks of a job, as its owner estimates.
+fn cpu_ms(spec: &JobSpec, tasks: f64) -> f64 {
+    spec.demand.cpus * tasks * spec.estimate_s * 1000.0
+}
+
+/// CPU-ms of all its waiting tasks.
+fn work_ms(job: &Job) -> f64 {
+    cpu_ms(&job.spec, f64::from(job.waiting()))
+}
--- a/crates/latchtrack-core/src/placement.rs
+++ b/crates/latchtrack-core/src/placement.rs
@@ -100,10 +100,9 @@
     Aim,
     /// With neither.
     Regular,
-    /// Can't all be in time: these would make the most others late.
+    /// Can't all be in time: these would make the most others late, or are past all of their aims. The
+    /// least work goes first: that brings the most of them in, and leaves no small one to the end.
     Aside,
-    /// Past all of its own.
-    Missed,
     /// Of the lowest priority and with nothing to be late for: takes what would stand idle.
     Spare,
 }
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -875,3 +875,18 @@
     let more = effects.iter().any(|e| matches!(e, Effect::Hire { .. } | Effect::Return(_)));
     assert!(!more && c.machines().len() == 1, "{effects:?}");
 }
+
+/// Own days: a job of 25 tasks that missed its deadline by a second stood behind hundreds that could not be
+/// in time, the largest first, and began 500 s later.
+#[test]
+fn a_small_job_past_its_deadline_is_not_left_to_the_end() {
+    let mut c = Cluster::new(patient(), STAMPS, types(), stored(0..1), Vec::new(), 100_000);
+    let late = |id, tasks| {
+        let spec = JobSpec { deadline_s: Some(1.0), ..(*spec(id, tasks)).clone() };
+        Event::Job { spec: Arc::new(spec), submitted_at: 90_000, stamp: 8, done: None }
+    };
+    c.handle(100_000, late(1, 50));
+    c.handle(100_000, late(2, 2));
+    c.handle(100_000, Event::Report(report(0, 1, 7, Vec::new())));
+    assert_eq!(c.jobs()[&JobId(2)].placed.len(), 2, "the least work first");
+}
