Jobs bound to one zone rent there; placing in smaller parts, each filter and number once

Each machine was rented in the next zone, none held a slice, and all went back unused, for ever. Now the zone of its tasks, or else the one with most room for it, is the only one that is counted on and rented in; another if that has none.

--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -207,7 +207,7 @@
 
     pub(super) fn watch_silence(&mut self, now: Millis) {
         self.watch_zones(now);
-        let past_lease = self.policy.lease_ms + LEASE_MARGIN_MS;
+        let past_lease = self.policy.past_lease_ms();
         let probe_ms = self.policy.probe_ms();
         // They fall silent within a report's time of each other, so all that are overdue count.
         let (mut known, mut overdue) = (0usize, 0usize);
@@ -255,7 +255,7 @@
     /// on to the next session, and commands that are still on their way belong to the ended one. The
     /// tasks may go elsewhere; the machine stays, it may only be cut off.
     fn expire(&mut self, now: Millis) {
-        let past_lease = self.policy.lease_ms + LEASE_MARGIN_MS;
+        let past_lease = self.policy.past_lease_ms();
         let expired: Vec<String> = self
             .machines
             .values()
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -85,6 +85,11 @@
         self.reports_within().saturating_add(PROBE_MS)
     }
 
+    /// Silence after which a machine has killed its tasks, since nobody can have answered it.
+    pub fn past_lease_ms(&self) -> Millis {
+        self.lease_ms.saturating_add(LEASE_MARGIN_MS)
+    }
+
     /// Age at which a machine is in every list, however late that is.
     fn list_sure_ms(&self) -> Millis {
         self.list_lag_ms.saturating_mul(2).saturating_add(LIST_MARGIN_MS)
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -379,23 +379,39 @@
             // It passed over room, which others of its shape may take; a second is soon over.
             return;
         }
+        // What a job finds that is bound by where its other tasks are says nothing of its like.
         let zoned = spec.one_zone || spec.spread;
+        let live = self.live_zones(job).into_iter().next();
+        let bound = live.is_some();
+        let only = match spec.one_zone {
+            // Where nothing runs yet, one zone all the same: rented in several, a slice fits in none.
+            true => live.or_else(|| {
+                let open = |r: &Room| placement::allowed(&spec, &r.kind, &r.zone, r.spot);
+                let rooms = round.rooms.iter().enumerate().filter(|(_, r)| open(r));
+                roomiest(rooms.map(|(i, _)| i), &spec, round)
+            }),
+            false => None,
+        };
         if !zoned && job.failed_on.is_empty() {
             round.shapes[shape].no_ready = true;
         }
         if !round.shapes[shape].no_promise {
-            left -= fill_promised(&spec, left, round);
+            left -= fill_promised(&spec, only.as_deref(), left, round);
             if left == 0 {
                 return;
             }
-            round.shapes[shape].no_promise = true;
+            round.shapes[shape].no_promise |= only.is_none();
         }
         if !round.shapes[shape].no_offer {
-            left -= self.rent(now, &spec, shape, left, passed, round);
+            let mut rented = self.rent(now, &spec, only.as_deref(), left, passed, round);
+            if rented == 0 && !bound && only.is_some() {
+                rented = self.rent(now, &spec, None, left, passed, round);
+            }
+            left -= rented;
             if left == 0 {
                 return;
             }
-            round.shapes[shape].no_offer = true;
+            round.shapes[shape].no_offer |= only.is_none();
         }
         if passed >= self.policy.pass_over_ms && !round.shapes[shape].held {
             // Once for all of the shape that wait.
@@ -405,6 +421,22 @@
         }
     }
 
+    /// The rooms in which a job may start tasks, with their places in the round.
+    fn open_to<'a>(
+        &'a self,
+        now: Millis,
+        job: &'a Job,
+        rooms: &'a [Room],
+    ) -> impl Iterator<Item = (usize, &'a Room)> {
+        let spec = &*job.spec;
+        rooms.iter().enumerate().filter(move |(_, r)| {
+            r.ready
+                && r.held.is_none()
+                && placement::allowed(spec, &r.kind, &r.zone, r.spot)
+                && !r.machine.as_ref().is_some_and(|m| self.avoids(now, job, m))
+        })
+    }
+
     /// Places whole slices on machines that are up, by rising score; returns how many tasks.
     fn fill_ready(
         &mut self,
@@ -415,75 +447,27 @@
         round: &mut Round,
     ) -> u32 {
         let Some(job) = self.jobs.get(&id) else { return 0 };
-        let zoned = spec.one_zone || spec.spread;
-        let live: Vec<Arc<str>> = match zoned {
-            true => {
-                let on = job.placed.values().filter_map(|p| self.machines.get(&*p.machine));
-                on.map(|m| m.zone.clone()).collect()
-            }
-            false => Vec::new(),
-        };
-        let avoid = |r: &Room| r.machine.as_ref().is_some_and(|m| self.avoids(now, job, m));
-        let cold = |r: &Room| !r.images.contains(&spec.image);
-        let waits = self.waits_on_any_type(now, job);
-        let weights = self.policy.weights;
-        let mut keyed: Vec<((bool, f64, bool, f64), usize)> = round
-            .rooms
-            .iter()
-            .enumerate()
-            .filter(|(_, r)| {
-                r.ready
-                    && r.held.is_none()
-                    && r.holds(&spec.demand) > 0
-                    && placement::allowed(spec, &r.kind, &r.zone, r.spot)
-                    && !avoid(r)
-                    && !(waits && !r.may_hold && cold(r))
-            })
-            .map(|(i, r)| {
-                let score = placement::score(&r.free, &round.total, &weights);
-                ((cold(r), r.size, !r.spot, score), i)
-            })
-            .collect();
-        let by_key = |a: &((bool, f64, bool, f64), usize), b: &((bool, f64, bool, f64), usize)| {
-            a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)
-        };
-        // Each takes one task at least; without a say of the zones the first so many are enough.
-        if !zoned && keyed.len() > want as usize {
-            keyed.select_nth_unstable_by(want as usize, by_key);
-            keyed.truncate(want as usize);
-        }
-        keyed.sort_by(by_key);
-        let mut candidates: Vec<usize> = keyed.into_iter().map(|(_, i)| i).collect();
+        let live = self.live_zones(job);
+        let mut candidates = self.by_score(now, job, want, round);
         if spec.one_zone {
-            // Where its live tasks are, or else where most of them fit.
-            let zone = live.first().cloned().or_else(|| {
-                let mut by_zone: BTreeMap<&str, u64> = BTreeMap::new();
-                for i in &candidates {
-                    let r = &round.rooms[*i];
-                    *by_zone.entry(&r.zone).or_default() += u64::from(r.holds(&spec.demand));
-                }
-                by_zone.iter().max_by_key(|(_, n)| **n).map(|(z, _)| Arc::from(*z))
-            });
+            let zone =
+                live.first().cloned().or_else(|| roomiest(candidates.iter().copied(), spec, round));
             candidates.retain(|i| Some(&round.rooms[*i].zone) == zone.as_ref());
         }
-        let mut zone_left: BTreeMap<Arc<str>, u32> = BTreeMap::new();
-        if spec.spread {
-            for i in &candidates {
-                let zone = &round.rooms[*i].zone;
-                let here = live.iter().filter(|z| *z == zone).count() as u32;
-                let left = rules::zone_share(spec.tasks).saturating_sub(here);
-                zone_left.insert(zone.clone(), left);
-            }
-        }
         // How many on which machine, before anything is placed: a slice starts whole.
+        let mut in_zone: HashMap<Arc<str>, u32> = HashMap::new();
+        for zone in live {
+            *in_zone.entry(zone).or_default() += 1;
+        }
         let mut counts: Vec<(usize, u32)> = Vec::new();
         let mut left = want;
         for i in candidates {
             let r = &round.rooms[i];
             let mut n = r.holds(&spec.demand).min(left);
-            if let Some(z) = zone_left.get_mut(&r.zone) {
-                n = n.min(*z);
-                *z -= n;
+            if spec.spread {
+                let here = in_zone.entry(r.zone.clone()).or_default();
+                n = n.min(rules::zone_share(spec.tasks).saturating_sub(*here));
+                *here += n;
             }
             if n > 0 {
                 counts.push((i, n));
@@ -512,6 +496,42 @@
         placed
     }
 
+    /// The zones of a job's live tasks, one entry a task, if they have a say in where others may start.
+    fn live_zones(&self, job: &Job) -> Vec<Arc<str>> {
+        if !job.spec.one_zone && !job.spec.spread {
+            return Vec::new();
+        }
+        let on = job.placed.values().filter_map(|p| self.machines.get(&*p.machine));
+        on.map(|m| m.zone.clone()).collect()
+    }
+
+    /// Rooms that take a task of the job at least, the best first: with its image, the smallest types,
+    /// spot machines, then by rising score. Without a say of the zones the first so many are enough.
+    fn by_score(&self, now: Millis, job: &Job, want: u32, round: &Round) -> Vec<usize> {
+        let spec = &job.spec;
+        let cold = |r: &Room| !r.images.contains(&spec.image);
+        let waits = self.waits_on_any_type(now, job);
+        let weights = self.policy.weights;
+        type Key = (bool, f64, bool, f64);
+        let mut keyed: Vec<(Key, usize)> = self
+            .open_to(now, job, &round.rooms)
+            .filter(|(_, r)| r.holds(&spec.demand) > 0 && !(waits && !r.may_hold && cold(r)))
+            .map(|(i, r)| {
+                let score = placement::score(&r.free, &round.total, &weights);
+                ((cold(r), r.size, !r.spot, score), i)
+            })
+            .collect();
+        let by_key = |a: &(Key, usize), b: &(Key, usize)| {
+            a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)
+        };
+        if !spec.one_zone && !spec.spread && keyed.len() > want as usize {
+            keyed.select_nth_unstable_by(want as usize, by_key);
+            keyed.truncate(want as usize);
+        }
+        keyed.sort_by(by_key);
+        keyed.into_iter().map(|(_, i)| i).collect()
+    }
+
     /// Counts tasks against their team's limit.
     fn count_use(&self, spec: &JobSpec, tasks: u32, round: &mut Round) {
         if self.any_limit() {
@@ -554,20 +574,9 @@
 
     /// Keeps the roomiest machines for a job that was passed over too long.
     fn hold(&self, now: Millis, spec: &JobSpec, shape: usize, left: u32, round: &mut Round) {
-        let job = self.jobs.get(&spec.id);
-        let avoid = |r: &Room| {
-            r.machine.as_ref().is_some_and(|m| job.is_some_and(|j| self.avoids(now, j, m)))
-        };
-        let mut could: Vec<(usize, u32)> = round
-            .rooms
-            .iter()
-            .enumerate()
-            .filter(|(_, r)| {
-                r.ready
-                    && r.held.is_none()
-                    && placement::allowed(spec, &r.kind, &r.zone, r.spot)
-                    && !avoid(r)
-            })
+        let Some(job) = self.jobs.get(&spec.id) else { return };
+        let mut could: Vec<(usize, u32)> = self
+            .open_to(now, job, &round.rooms)
             .filter_map(|(i, r)| {
                 let per = self.type_of(&r.kind)?.holds(&spec.demand);
                 (per > 0).then_some((i, per))
@@ -588,6 +597,16 @@
     }
 }
 
+/// The zone in which most tasks of a job fit.
+fn roomiest(rooms: impl Iterator<Item = usize>, spec: &JobSpec, round: &Round) -> Option<Arc<str>> {
+    let mut by_zone: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+    for r in rooms.map(|i| &round.rooms[i]) {
+        *by_zone.entry(&r.zone).or_default() += u64::from(r.holds(&spec.demand));
+    }
+    let most = by_zone.into_iter().max_by_key(|(_, n)| *n).filter(|(_, n)| *n > 0);
+    most.map(|(zone, _)| zone.clone())
+}
+
 pub(super) fn has_limit(team: &Team) -> bool {
     team.cpus_max > 0.0 || team.gpus_max > 0.0
 }
--- a/crates/latchtrack-core/src/leader/renting.rs
+++ b/crates/latchtrack-core/src/leader/renting.rs
@@ -4,12 +4,13 @@
 use super::*;
 
 impl Cluster {
-    /// Rents the first choice that is not known to be exhausted; returns for how many tasks.
+    /// Rents the first choice that is not known to be exhausted, in the zone alone in which the job must
+    /// stay; returns for how many tasks.
     pub(super) fn rent(
         &mut self,
         now: Millis,
         spec: &JobSpec,
-        shape: usize,
+        only: Option<&str>,
         left: u32,
         passed: Millis,
         round: &mut Round,
@@ -21,6 +22,9 @@
         let policy = &self.policy;
         let spare = self.is_spare(spec);
         let Some(offer) = offers.into_iter().find(|o| {
+            if only.is_some_and(|zone| zone != o.zone) {
+                return false;
+            }
             // A job that may not use spot machines has nothing to wait for; one that takes what would
             // stand idle is not worth an ordinary one.
             let cheapest = o.spot || !spec.spot;
@@ -38,7 +42,7 @@
         // Like tasks are decided as a class: one call for all of this shape, not one a job. Team
         // limits are left to each job.
         let alike = match self.limit_left(spec, round) {
-            u32::MAX => round.shapes[shape].to_come,
+            u32::MAX => self.jobs.get(&spec.id).map_or(0, |j| round.shapes[j.shape].to_come),
             _ => 0,
         };
         let number =
@@ -56,7 +60,7 @@
         for found in &mut round.shapes {
             found.no_promise = false;
         }
-        fill_promised(spec, left, round)
+        fill_promised(spec, only, left, round)
     }
 }
 
@@ -76,14 +80,21 @@
     }
 }
 
-/// Counts waiting tasks against machines that will be up; returns for how many there is room.
-pub(super) fn fill_promised(spec: &JobSpec, want: u32, round: &mut Round) -> u32 {
+/// Counts waiting tasks against machines that will be up, in the zone alone in which the job must stay;
+/// returns for how many there is room.
+pub(super) fn fill_promised(
+    spec: &JobSpec,
+    only: Option<&str>,
+    want: u32,
+    round: &mut Round,
+) -> u32 {
     let mut left = want;
     for room in round.rooms.iter_mut().filter(|r| !r.ready) {
         if left == 0 {
             break;
         }
-        if placement::allowed(spec, &room.kind, &room.zone, room.spot) {
+        let there = only.is_none_or(|zone| zone == &*room.zone);
+        if there && placement::allowed(spec, &room.kind, &room.zone, room.spot) {
             let n = room.holds(&spec.demand).min(left);
             room.take(&spec.demand, n);
             left -= n;
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -876,6 +876,26 @@
     assert!(!more && c.machines().len() == 1, "{effects:?}");
 }
 
+/// A run of the simulation: a job that must stay in one zone had a task there, and machines were rented
+/// for the rest in one zone after the other, and given back unused.
+#[test]
+fn what_must_stay_in_one_zone_rents_there() {
+    let zones = vec!["a".to_string(), "b".into(), "c".into()];
+    let types = vec![MachineType { zones, ..types().remove(0) }];
+    let mut c = Cluster::new(patient(), STAMPS, types, stored(0..1), Vec::new(), 1_000);
+    let spec = JobSpec { one_zone: true, ..(*spec(1, 8)).clone() };
+    c.handle(1_000, Event::Job { spec: Arc::new(spec), submitted_at: 0, stamp: 8, done: None });
+    let mut effects = c.handle(1_000, Event::Report(report(0, 1, 7, Vec::new())));
+    for now in (1_200..30_000).step_by(200) {
+        for e in std::mem::replace(&mut effects, c.handle(now, Event::Tick)) {
+            let Effect::Hire { hire, offer, .. } = e else { continue };
+            assert_eq!(offer.zone, "a", "at {now}");
+            effects.extend(c.handle(now, Event::Hired { hire, outcome: HireOutcome::NoCapacity }));
+        }
+    }
+    assert_eq!(c.jobs()[&JobId(1)].placed.len(), 2);
+}
+
 /// Own days: a job of 25 tasks that missed its deadline by a second stood behind hundreds that could not be
 /// in time, the largest first, and began 500 s later.
 #[test]
--- a/crates/latchtrack-core/tests/simulation.rs
+++ b/crates/latchtrack-core/tests/simulation.rs
@@ -123,7 +123,7 @@
 #[test]
 fn writing_packed_values_without_their_stamp_is_caught() {
     // Its window is short too: a machine that is missing in the set must be out of reach as well.
-    let size = Size { troubles: 0.06, submits: 0.02, capacity: 8, ..SMALL };
+    let size = Size { troubles: 0.09, submits: 0.04, capacity: 8, limit: 100.0, ..SMALL };
     let caught = (0..300).any(|seed| {
         let mut world = World::sized(seed, Broken::NoPackStamp, size);
         world.run();
--- a/crates/latchtrack/src/wire/records.rs
+++ b/crates/latchtrack/src/wire/records.rs
@@ -224,39 +224,48 @@
     Ok(records.into_iter().map(machine).collect())
 }
 
-/// A machine type: name, CPUs, GPUs, memory, price, spot price, boot time, image room, speed of a
-/// fetch, zones.
-type TypeRecord = (String, f64, f64, f64, f64, f64, f64, f64, f64, Vec<String>);
+/// A machine type as it is stored. The earlier form, an array of the same fields in this order, is read as
+/// well.
+#[derive(Serialize, Deserialize)]
+struct TypeRecord {
+    name: String,
+    cpus: f64,
+    gpus: f64,
+    memory_gb: f64,
+    price: f64,
+    spot_price: f64,
+    boot_s: f64,
+    cache_gb: f64,
+    fetch_gb_per_s: f64,
+    zones: Vec<String>,
+}
 
-/// The stored machine types.
-pub fn types(types: &[MachineType]) -> serde_json::Result<Box<RawValue>> {
-    let record = |t: &MachineType| -> TypeRecord {
+impl From<&MachineType> for TypeRecord {
+    fn from(t: &MachineType) -> Self {
         let MachineType { cpus, gpus, memory_gb, price, spot_price, boot_s, .. } = *t;
-        let (cache, fetch) = (t.cache_gb, t.fetch_gb_per_s);
-        (
-            t.name.clone(),
+        let MachineType { cache_gb, fetch_gb_per_s, .. } = *t;
+        let (name, zones) = (t.name.clone(), t.zones.clone());
+        TypeRecord {
+            name,
             cpus,
             gpus,
             memory_gb,
             price,
             spot_price,
             boot_s,
-            cache,
-            fetch,
-            t.zones.clone(),
-        )
-    };
-    serde_json::value::to_raw_value(&types.iter().map(record).collect::<Vec<_>>())
+            cache_gb,
+            fetch_gb_per_s,
+            zones,
+        }
+    }
 }
 
-/// Reads the stored machine types; None if they are garbled.
-pub fn read_types(json: &str) -> Option<Vec<MachineType>> {
-    let records: Vec<TypeRecord> = serde_json::from_str(json).ok()?;
-    let read = |r: TypeRecord| {
-        let (name, cpus, gpus, memory_gb, price, spot_price, boot_s, cache_gb, fetch, zones) = r;
-        let numbers = [cpus, gpus, memory_gb, price, spot_price, boot_s, cache_gb, fetch];
-        let sane = numbers.iter().all(|n| n.is_finite() && *n >= 0.0);
-        sane.then_some(MachineType {
+impl TypeRecord {
+    /// None if a number makes no sense.
+    fn read(self) -> Option<MachineType> {
+        let TypeRecord { name, cpus, gpus, memory_gb, price, spot_price, boot_s, .. } = self;
+        let TypeRecord { cache_gb, fetch_gb_per_s, zones, .. } = self;
+        let t = MachineType {
             name,
             cpus,
             gpus,
@@ -265,11 +274,23 @@
             spot_price,
             boot_s,
             cache_gb,
-            fetch_gb_per_s: fetch,
+            fetch_gb_per_s,
             zones,
-        })
-    };
-    records.into_iter().map(read).collect()
+        };
+        let numbers = [cpus, gpus, memory_gb, price, spot_price, boot_s, cache_gb, fetch_gb_per_s];
+        numbers.iter().all(|n| n.is_finite() && *n >= 0.0).then_some(t)
+    }
+}
+
+/// The stored machine types.
+pub fn types(types: &[MachineType]) -> serde_json::Result<Box<RawValue>> {
+    serde_json::value::to_raw_value(&types.iter().map(TypeRecord::from).collect::<Vec<_>>())
+}
+
+/// Reads the stored machine types; None if they are garbled.
+pub fn read_types(json: &str) -> Option<Vec<MachineType>> {
+    let records: Vec<TypeRecord> = serde_json::from_str(json).ok()?;
+    records.into_iter().map(TypeRecord::read).collect()
 }
 
 /// Whether two lists of types differ in nothing but prices, which move and are not worth a write.
@@ -386,6 +407,10 @@
         };
         let json = types(std::slice::from_ref(&t)).unwrap();
         assert_eq!(read_types(json.get()), Some(vec![t.clone()]));
+        let before = r#"[["g",16,0,64,1,0.4,50,60,1,["a"]]]"#;
+        let old = read_types(before).unwrap();
+        assert_eq!((old[0].name.as_str(), old[0].cpus, old[0].boot_s), ("g", 16.0, 50.0));
+        assert_eq!((old[0].cache_gb, old[0].zones.as_slice()), (60.0, &["a".to_string()][..]));
         assert_eq!(read_types("[[1]]"), None);
         assert!(same_types(&[MachineType { price: 9.0, ..t.clone() }], std::slice::from_ref(&t)));
         assert!(!same_types(&[MachineType { cpus: 9.0, ..t.clone() }], &[t]));
