latchtrack status: what runs where, by the leader or without one; a flood of questions over real sockets

The users' complaint: the controllers went silent for a minute and more, and nobody could tell what was running. status asks every node by the nodes' own frames; the leader tells its picture with jobs in doubt, late boots and quiet zones. If none answers it reads the state service, within a node's share, and asks the workers of the stored set themselves. It only reads. Frames have a new question, so that all nodes are to be restarted in one go.

--- a/crates/latchtrack-core/src/leader/boots.rs
+++ b/crates/latchtrack-core/src/leader/boots.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Types and zones of which most boots are late.
+    pub fn late_classes(&self) -> Vec<String> {
+        self.boots.late.keys().map(|(kind, zone)| format!("{kind} in {zone}")).collect()
+    }
+
     /// How many machines are not up though they should be.
     pub(super) fn late_boots(&self, now: Millis) -> usize {
         let late =
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -548,6 +548,16 @@
         &self.machines
     }
 
+    /// Jobs that have shown nothing but failures.
+    pub fn doubted(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.doubted.iter().copied()
+    }
+
+    /// Zones of which nothing is heard.
+    pub fn quiet_zones(&self) -> Vec<String> {
+        self.quiet.iter().map(|z| z.to_string()).collect()
+    }
+
     /// Rounds of placing in this term, for checks.
     pub fn rounds(&self) -> u64 {
         self.rounds
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -26,6 +26,7 @@
 use crate::settings::Settings;
 use crate::wire::peers::Frame;
 use crate::wire::records::{types as types_record, *};
+use crate::wire::status::{NodeView, Picture};
 use crate::wire::store::{Change, Condition, Txn};
 use crate::wire::workers::{parse_report, Call, CommandDto};
 
@@ -58,6 +59,16 @@
     pub relayed: bool,
 }
 
+/// What this node sees, for an operator.
+#[derive(Message)]
+#[rtype(result = "View")]
+pub struct Inspect {
+    pub served: bool,
+}
+
+#[derive(MessageResponse)]
+pub struct View(pub NodeView);
+
 /// Machines that the leader misses; their reports are passed on to it.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -86,7 +97,7 @@
     pub event: Event,
 }
 
-struct Picture {
+struct StoredPicture {
     jobs: Vec<OpenJob>,
     vacant: Option<u64>,
     fleet: Vec<StoredFleet>,
@@ -368,7 +379,7 @@
         }));
     }
 
-    fn start_term(&mut self, token: u64, picture: Picture, ctx: &mut Context<Self>) {
+    fn start_term(&mut self, token: u64, picture: StoredPicture, ctx: &mut Context<Self>) {
         let now = now_ms();
         tracing::info!(
             "picture read: {} jobs open, {} machines to settle",
@@ -514,7 +525,7 @@
 
 /// Reads open jobs, results and machine set; None if the state service can't be asked. All of it
 /// is as new as this term, since an earlier leader's writes are fenced.
-async fn read_picture(store: &Addr<Store>, cache: &Addr<JobCache>) -> Option<Picture> {
+async fn read_picture(store: &Addr<Store>, cache: &Addr<JobCache>) -> Option<StoredPicture> {
     let (stored, _) = store::read_all(store, FLEET).await.ok()?;
     let (chunks, _) = store::read_all(store, RESULTS).await.ok()?;
     let Inheritance { jobs, vacant } = cache.send(OpenJobs).await.ok()?.ok()?;
@@ -538,7 +549,7 @@
         chunks.retain(|(id, ..)| open.contains(id));
         results.push(StoredResults { name: name.to_string(), stamp: item.version, chunks });
     }
-    Some(Picture { jobs, vacant, fleet, results })
+    Some(StoredPicture { jobs, vacant, fleet, results })
 }
 
 impl Actor for Leader {
@@ -637,6 +648,31 @@
     }
 }
 
+impl Handler<Inspect> for Leader {
+    type Result = View;
+    fn handle(&mut self, msg: Inspect, _: &mut Self::Context) -> View {
+        let picture = self.cluster.as_ref().filter(|_| self.office.is_some()).map(|c| {
+            let s = c.summary(now_ms());
+            Picture {
+                token: c.token(),
+                acting: self.may_act(),
+                machines_up: s.up,
+                machines_booting: s.promised - s.unsettled,
+                machines_late: s.late,
+                machines_unsettled: s.unsettled,
+                late_boots: c.late_classes(),
+                quiet_zones: c.quiet_zones(),
+                jobs_open: c.jobs().len(),
+                jobs_in_doubt: c.doubted().map(|id| id.to_string()).take(STATUS_JOBS).collect(),
+                tasks_waiting: s.waiting,
+                cpus: s.cpus,
+                cpus_running: s.cpus_running,
+            }
+        });
+        View(NodeView { served: msg.served, leader: self.leader_name.clone(), picture })
+    }
+}
+
 impl Handler<Came> for Leader {
     type Result = ();
     fn handle(&mut self, msg: Came, ctx: &mut Self::Context) {
--- a/crates/latchtrack/src/actors/peers.rs
+++ b/crates/latchtrack/src/actors/peers.rs
@@ -143,6 +143,21 @@
     }
 }
 
+/// Asks one node one thing, from outside of the service; None if it does not answer in time.
+pub async fn ask_once(addr: SocketAddr, ask: Ask) -> Option<Answer> {
+    let asked = async {
+        let mut wire = framed(TcpStream::connect(addr).await.ok()?);
+        if !send(&mut wire, &Frame::Ask { id: 1, ask }).await {
+            return None;
+        }
+        match decode(&wire.next().await?.ok()?)? {
+            Frame::Answer { answer, .. } => Some(answer),
+            _ => None,
+        }
+    };
+    tokio::time::timeout(PASS_ON_TIMEOUT, asked).await.ok().flatten()
+}
+
 /// Serves the connection of another node. Requests are answered side by side, as many as the queue
 /// of answers holds; more are dropped, and their sender answers for itself.
 async fn listen(stream: TcpStream, peers: Addr<Peers>, cache: Addr<JobCache>, desk: Desk) {
--- a/crates/latchtrack/src/cli.rs
+++ b/crates/latchtrack/src/cli.rs
@@ -18,6 +18,8 @@
     Serve(Files),
     /// Check the settings and print them as they take effect
     Check(Files),
+    /// Tell what runs where, as the nodes see it, or without a leader as the state service and the workers do
+    Status(Files),
 }
 
 #[derive(Args, Debug)]
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -117,6 +117,11 @@
 /// A zone that can't reach the leader has some hundred reports a second relayed.
 pub const PEER_QUEUE: usize = 256;
 
+/// Workers that `latchtrack status` asks at a time.
+pub const STATUS_OPEN: usize = 64;
+/// Jobs in doubt that a leader names: a status stays well within a frame.
+pub const STATUS_JOBS: usize = 500;
+
 /// Bytes of the largest request body (the protocol's bound).
 pub const BODY_BYTES: usize = 64 * 1024;
 /// A request's body, from its first to its last byte; users give up after 5 s.
--- a/crates/latchtrack/src/http/mod.rs
+++ b/crates/latchtrack/src/http/mod.rs
@@ -12,8 +12,8 @@
 use futures_util::StreamExt;
 
 use crate::actors::intake::Intake;
-use crate::actors::job_cache::JobCache;
-use crate::actors::leader::Leader;
+use crate::actors::job_cache::{JobCache, Served};
+use crate::actors::leader::{Inspect, Leader};
 use crate::actors::peers::{PassOn, Peers};
 use crate::constants::{BODY_BYTES, BODY_TIMEOUT, RETRY_AFTER_S};
 use crate::wire::peers::{Answer, Ask};
@@ -86,10 +86,20 @@
     Some(response.content_type("application/json").body(answer.body))
 }
 
+/// What this node sees, for an operator.
+async fn status(desk: &Desk) -> HttpResponse {
+    let served = desk.cache.send(Served).await.unwrap_or(false);
+    match desk.leader.send(Inspect { served }).await {
+        Ok(view) => HttpResponse::Ok().json(view.0),
+        Err(_) => later("too busy to tell"),
+    }
+}
+
 /// Answers what another node has passed on; never passes it on again.
 pub async fn answer_passed_on(desk: &Desk, ask: Ask) -> Answer {
     let response = match ask {
         Ask::Report(bytes) => workers::answer_here(desk, &bytes).await,
+        Ask::Status => status(desk).await,
         ask => users::answer_here(desk, ask).await,
     };
     let status = response.status().as_u16();
--- a/crates/latchtrack/src/http/users.rs
+++ b/crates/latchtrack/src/http/users.rs
@@ -64,7 +64,7 @@
         Ask::Submit(bytes) => submit_body(desk, &bytes).await.unwrap_or_else(|answer| answer),
         Ask::Query(id) => query_id(desk, &id).await,
         Ask::Withdraw(id) => withdraw_id(desk, &id).await,
-        Ask::Report(_) => refuse(StatusCode::BAD_REQUEST, "not a user's request"),
+        Ask::Report(_) | Ask::Status => refuse(StatusCode::BAD_REQUEST, "not a user's request"),
     }
 }
 
--- a/crates/latchtrack/src/lib.rs
+++ b/crates/latchtrack/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod net;
 pub mod node;
 pub mod settings;
+pub mod status;
 pub mod wire;
--- a/crates/latchtrack/src/main.rs
+++ b/crates/latchtrack/src/main.rs
@@ -12,6 +12,7 @@
     let result = match Cli::parse().command {
         Command::Serve(files) => serve(&files),
         Command::Check(files) => check(&files),
+        Command::Status(files) => status(&files),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -33,6 +34,13 @@
     Ok(())
 }
 
+fn status(files: &Files) -> Result<(), Box<dyn std::error::Error>> {
+    let settings = load(files)?;
+    let status = actix::System::new().block_on(latchtrack::status::ask(&settings))?;
+    print!("{}", serde_yaml_ng::to_string(&status)?);
+    Ok(())
+}
+
 fn serve(files: &Files) -> Result<(), Box<dyn std::error::Error>> {
     let settings = load(files)?;
     log_level()?;
--- a/crates/latchtrack/src/wire/mod.rs
+++ b/crates/latchtrack/src/wire/mod.rs
@@ -4,6 +4,7 @@
 pub mod cloud;
 pub mod peers;
 pub mod records;
+pub mod status;
 pub mod store;
 pub mod users;
 pub mod workers;
--- a/crates/latchtrack/src/wire/peers.rs
+++ b/crates/latchtrack/src/wire/peers.rs
@@ -23,6 +23,8 @@
     Withdraw(String),
     /// A report of a worker that can't reach the leader itself.
     Report(Vec<u8>),
+    /// An operator's question: see [`super::status::NodeView`].
+    Status,
 }
 
 /// The answer to a user's request.
--- a/crates/latchtrack/tests/faces.rs
+++ b/crates/latchtrack/tests/faces.rs
@@ -467,6 +467,126 @@
     panic!("not run: {:?}", site.sky.lock().unwrap().deleted);
 }
 
+/// From outside nothing answered, and nobody could tell what was running: the status tells it by way of
+/// the leader, and without one by way of the state service and the workers.
+#[actix_web::test]
+async fn the_status_tells_what_runs_with_a_leader_and_without() {
+    let site = site();
+    let [users, peers] = [bound().await, bound().await];
+    let settings = site.settings("one", 0, &users, &peers, &[]);
+    let at = format!("http://{}", users.local_addr().unwrap());
+    let away = latchtrack::status::ask(&settings).await.unwrap();
+    assert!(away.nodes["one"].is_none());
+    let stored = away.without_leader.unwrap();
+    assert_eq!((stored.jobs_open, stored.machines, stored.leader), (0, 0, None));
+    // Now the node runs, with a job and a machine.
+    actix_web::rt::spawn(latchtrack::node::serve(settings.clone(), users, peers));
+    ready(&at).await;
+    leader(&site).await;
+    assert_eq!(post(&format!("{at}/api/jobs"), &job("req-000001")).await.0, 201);
+    let mut seen = None;
+    for _ in 0..200 {
+        let status = latchtrack::status::ask(&settings).await.unwrap();
+        seen = status.nodes["one"].clone().and_then(|n| n.picture.map(|p| (n.served, p)));
+        if seen.as_ref().is_some_and(|(_, p)| p.jobs_open == 1 && p.machines_booting > 0) {
+            assert!(status.without_leader.is_none());
+            break;
+        }
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    let (served, picture) = seen.unwrap();
+    assert!(served && picture.acting && picture.jobs_in_doubt.is_empty());
+    assert_eq!((picture.jobs_open, picture.tasks_waiting), (1, 3));
+    // A worker of the stored set answers for itself when no node does.
+    let site2 = self::site();
+    let door = actix_web::HttpServer::new(|| {
+        actix_web::App::new().route(
+            "/status",
+            actix_web::web::get().to(|| async {
+                actix_web::HttpResponse::Ok().json(json!({"host": "n-000001", "addr": "x",
+                    "build": "t1", "yard": "a", "loaners": true, "shift": 1, "tally": 3, "baton": 1,
+                    "pieces": [{"piece": "req-000001/0", "try": 2, "status": "running"},
+                        {"piece": "req-000001/1", "try": 3, "status": "ended", "cause": "done"}]}))
+            }),
+        )
+    })
+    .workers(1)
+    .bind("127.0.0.1:0")
+    .unwrap();
+    let addr = door.addrs()[0].to_string();
+    actix_web::rt::spawn(door.run());
+    let machine = |name: &str, addr: &str| latchtrack_core::leader::StoredMachine {
+        name: name.into(),
+        kind: "t1".into(),
+        zone: "a".into(),
+        spot: true,
+        addr: addr.into(),
+    };
+    let machines = [machine("n-000001", &addr), machine("n-000002", "127.0.0.1:9")];
+    let value = latchtrack::wire::records::fleet(&machines).unwrap();
+    let value = serde_json::from_str(value.get()).unwrap();
+    site2.state.lock().unwrap().put("fleet/7-1", value, None);
+    let [users, peers] = [bound().await, bound().await];
+    let settings = site2.settings("one", 0, &users, &peers, &[]);
+    drop((users, peers));
+    let stored = latchtrack::status::ask(&settings).await.unwrap().without_leader.unwrap();
+    assert_eq!((stored.machines, stored.silent), (2, 1));
+    assert_eq!(stored.running, [("req-000001".to_string(), 1)].into());
+}
+
+/// Users asking many times as often, for open, finished and unknown jobs alike: whatever can't be answered
+/// is refused at once with `Retry-After`, no answer is older than one given, and reports and the leader's
+/// lease go on meanwhile.
+#[actix_web::test]
+async fn a_flood_of_questions_holds_up_neither_reports_nor_the_lease() {
+    let site = site();
+    let node = site.node("one").await;
+    ready(&node).await;
+    let led = leader(&site).await;
+    let jobs = format!("{node}/api/jobs");
+    for id in ["req-000001", "req-000002"] {
+        assert_eq!(post(&jobs, &job(id)).await.0, 201);
+    }
+    let withdrawn = post(&format!("{jobs}/req-000002/withdraw"), &json!({})).await;
+    assert_eq!((withdrawn.0, &withdrawn.2["status"]), (200, &json!("aborted")));
+    let worker = Worker::new("n-000009");
+    while worker.report(&node).await.0 != 200 {
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    let (mut answered, mut refused, mut done) = (0, 0, false);
+    for _ in 0..20 {
+        let was_done = done;
+        // As many at once as a node of this size has connections for, but a few.
+        let polls = (0..150).map(|i| {
+            let id = ["req-000001", "req-000002", "req-000404"][i % 3];
+            let url = format!("{jobs}/{id}");
+            async move { (i % 3, get(&url).await) }
+        });
+        let polls = futures_util::future::join_all(polls);
+        let (polls, report) = futures_util::future::join(polls, worker.report(&node)).await;
+        assert_eq!(report.0, 200, "the worker is answered");
+        for (which, (status, retry, body)) in polls {
+            match (which, status) {
+                (_, 503) => {
+                    assert!(retry.is_some(), "told when to come back");
+                    refused += 1;
+                    continue;
+                }
+                (0, 200) => {
+                    done |= body["status"] == "done";
+                    assert!(!was_done || body["status"] == "done", "older than one given: {body}");
+                }
+                (1, 200) => assert_eq!(body["status"], "aborted"),
+                (2, 404) => {}
+                other => panic!("{other:?}: {body}"),
+            }
+            answered += 1;
+        }
+    }
+    assert!(answered > 20 * 75, "{answered} answered, {refused} refused");
+    assert_eq!(leader(&site).await, led, "the same leader all along");
+}
+
 async fn bound() -> tokio::net::TcpListener {
     tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap()
 }
