--- a/crates/latchtrack/src/main.rs
+++ b/crates/latchtrack/src/main.rs
@@ -36,9 +36,12 @@
 
 fn status(files: &Files) -> Result<(), Box<dyn std::error::Error>> {
     let settings = load(files)?;
-    let status = actix::System::new().block_on(latchtrack::status::ask(&settings))?;
+    let status = actix::System::new().block_on(latchtrack::status::ask(&settings));
     print!("{}", serde_yaml_ng::to_string(&status)?);
-    Ok(())
+    match status.heard() {
+        true => Ok(()),
+        false => Err("nobody answers".into()),
+    }
 }
 
 fn serve(files: &Files) -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/latchtrack/src/status.rs
+++ b/crates/latchtrack/src/status.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use crate::actors::peers;
-use crate::actors::store::{self, Store};
+use crate::actors::store::{self, Store, StoreError};
 use crate::constants::*;
 use crate::net::{finish, http_client};
 use crate::settings::Settings;
@@ -26,6 +26,16 @@
     /// Only if no node answered as the leader.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub without_leader: Option<Stored>,
+    /// Why the state service told nothing, if it was asked in vain.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub trouble: Option<String>,
+}
+
+impl Status {
+    /// Whether anybody answered at all.
+    pub fn heard(&self) -> bool {
+        self.without_leader.is_some() || self.nodes.values().any(Option::is_some)
+    }
 }
 
 /// What the state service and the workers say.
@@ -41,8 +51,8 @@
     pub running: BTreeMap<String, usize>,
 }
 
-/// Asks everybody. Err if neither a leader nor the state service answers.
-pub async fn ask(settings: &Settings) -> Result<Status, String> {
+/// Asks everybody.
+pub async fn ask(settings: &Settings) -> Status {
     let p = &settings.platform;
     let own = std::iter::once((p.node_name.clone(), p.peer_bind));
     let all = own.chain(p.peers.iter().map(|peer| (peer.node_name.clone(), peer.addr)));
@@ -53,18 +63,20 @@
         nodes.insert(name, view);
     }
     let led = nodes.values().flatten().any(|n| n.picture.is_some());
-    let without_leader = match led {
-        true => None,
-        false => Some(stored(settings).await?),
-    };
-    Ok(Status { nodes, without_leader })
+    let (mut without_leader, mut trouble) = (None, None);
+    if !led {
+        match stored(settings).await {
+            Ok(found) => without_leader = Some(found),
+            Err(e) => trouble = Some(format!("the state service: {e}")),
+        }
+    }
+    Status { nodes, without_leader, trouble }
 }
 
-async fn stored(settings: &Settings) -> Result<Stored, String> {
+async fn stored(settings: &Settings) -> Result<Stored, StoreError> {
     let store = Store::new(settings).start();
-    let refused = |e| format!("no leader answers, nor does the state service: {e}");
-    let (live, _) = store::read_all(&store, LIVE).await.map_err(refused)?;
-    let (fleet, _) = store::read_all(&store, FLEET).await.map_err(refused)?;
+    let (live, _) = store::read_all(&store, LIVE).await?;
+    let (fleet, _) = store::read_all(&store, FLEET).await?;
     let mut found = Stored::default();
     for item in live {
         if item.key == LEADER {
