--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -11,8 +11,10 @@
 mod boots;
 mod doubt;
 mod fleet;
+mod messages;
 mod order;
 mod placing;
+mod policy;
 mod renting;
 mod reports;
 mod saving;
@@ -20,6 +22,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
+pub use messages::*;
+pub use policy::*;
+
 use boots::Boots;
 use fleet::{new_machine, type_named};
 use order::Turn;
@@ -31,269 +36,11 @@
 use crate::constants::*;
 use crate::job::{Demand, Job, JobId, JobSpec, Place, Priority, TaskId};
 use crate::machine::*;
-use crate::packs::{PackWrite, Packs, Wrote};
-use crate::placement::{self, Offer, Rank, Room, Tier, Weights};
+use crate::packs::{Packs, Wrote};
+use crate::placement::{self, Offer, Rank, Room, Tier};
 use crate::rules;
 use crate::Millis;
 
-/// What operators may set, and what the platform says, as far as the core needs it.
-#[derive(Clone, Debug)]
-pub struct Policy {
-    pub weights: Weights,
-    pub slice: u32,
-    /// How long an empty machine is kept: a spot one, an ordinary one.
-    pub idle_wait_ms: Millis,
-    pub ordinary_idle_wait_ms: Millis,
-    pub pass_over_ms: Millis,
-    /// How long a job finds no room before a machine is rented for it: a spot one, an ordinary one.
-    pub spot_after_ms: Millis,
-    pub ordinary_after_ms: Millis,
-    pub silence_ms: Millis,
-    pub settle_ms: Millis,
-    /// How often workers report, plus or minus a quarter.
-    pub report_ms: Millis,
-    /// The workers' lease.
-    pub lease_ms: Millis,
-    /// How late the cloud's lists are; at times it is twice that.
-    pub list_lag_ms: Millis,
-    /// Direct calls open at once, commands and questions together.
-    pub calls_open: usize,
-    /// Bytes of one stored value.
-    pub value_bytes: usize,
-    pub teams: Vec<Team>,
-    /// What is aimed at for the classes.
-    pub aims: Vec<Aim>,
-    /// Classes with an aim of any kind.
-    pub aimed: BTreeSet<String>,
-    /// Classes whose tasks are to start within so many ms.
-    pub prompt: Vec<(String, Millis)>,
-}
-
-impl Policy {
-    /// The longest time between two reports of a healthy worker.
-    fn reports_within(&self) -> Millis {
-        reports_within(self.report_ms)
-    }
-
-    /// Silence after which the other nodes are told of a machine.
-    pub fn overdue_ms(&self) -> Millis {
-        self.reports_within().saturating_add(OVERDUE_MS)
-    }
-
-    /// Silence after which a machine is asked directly.
-    pub fn probe_ms(&self) -> Millis {
-        self.reports_within().saturating_add(PROBE_MS)
-    }
-
-    /// Silence after which a machine has killed its tasks, since nobody can have answered it.
-    pub fn past_lease_ms(&self) -> Millis {
-        self.lease_ms.saturating_add(LEASE_MARGIN_MS)
-    }
-
-    /// Age at which a machine is in every list, however late that is.
-    fn list_sure_ms(&self) -> Millis {
-        self.list_lag_ms.saturating_mul(2).saturating_add(LIST_MARGIN_MS)
-    }
-
-    /// Silence after which a machine is given up, unless operators say otherwise.
-    pub fn silence_default(report_ms: Millis) -> Millis {
-        reports_within(report_ms).saturating_add(PROBE_MS + ASKED_MS)
-    }
-}
-
-fn reports_within(report_ms: Millis) -> Millis {
-    (report_ms as f64 * REPORT_VARIES) as Millis
-}
-
-/// How soon the jobs of a class should be complete.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Aim {
-    pub class: String,
-    pub due: Due,
-}
-
-/// When a job is due, from its submission.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Due {
-    Within(Millis),
-    /// So many times its own deadline.
-    Times(f64),
-}
-
-/// A team's guarantee and limit; 0 is none.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Team {
-    pub name: String,
-    pub cpus: f64,
-    pub cpus_max: f64,
-    pub gpus: f64,
-    pub gpus_max: f64,
-}
-
-/// A machine as it stands in the stored set.
-#[derive(Clone, Debug, PartialEq)]
-pub struct StoredMachine {
-    pub name: String,
-    pub kind: String,
-    pub zone: String,
-    pub spot: bool,
-    pub addr: String,
-}
-
-/// The stamps of the state service that a term begins with.
-#[derive(Clone, Copy, Debug)]
-pub struct Stamps {
-    /// Of the leader key: the token.
-    pub token: u64,
-    /// From this one up to the token nobody led: what was accepted meanwhile was never launched.
-    pub vacant: u64,
-}
-
-/// A stored value of the machine set, with its stamp.
-#[derive(Clone, Debug, PartialEq)]
-pub struct StoredFleet {
-    pub name: String,
-    pub stamp: u64,
-    /// None if it can't be read: then any machine may be in it.
-    pub machines: Option<Vec<StoredMachine>>,
-}
-
-/// A stored value of results, with its stamp: bits of done tasks by job and chunk.
-#[derive(Clone, Debug, PartialEq)]
-pub struct StoredResults {
-    pub name: String,
-    pub stamp: u64,
-    pub chunks: Vec<(JobId, u32, Vec<u8>)>,
-}
-
-/// A machine as the cloud lists it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Listed {
-    pub name: String,
-    pub kind: String,
-    pub zone: String,
-    pub spot: bool,
-    pub failed: bool,
-    /// Up, as far as the cloud knows: its worker may not have been heard yet.
-    pub running: bool,
-    pub age_ms: Millis,
-}
-
-/// How a direct call ended.
-#[derive(Clone, Debug)]
-pub enum CallOutcome {
-    /// 200: executed.
-    Done(Report),
-    /// 409: not executed, and never will be.
-    Refused(Report),
-    /// Never sent.
-    NotSent,
-    /// No answer: may have been executed, or may be later.
-    Lost,
-}
-
-/// How a rental ended.
-#[derive(Clone, Debug)]
-pub enum HireOutcome {
-    Machines(Vec<String>),
-    NoCapacity,
-    /// Surely not executed.
-    NotDone,
-    /// Unknown: to be asked again under the same name.
-    Lost,
-}
-
-/// One change for the state service; it costs one put or delete.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Write {
-    /// A value of the machine set; without machines it is dropped.
-    Fleet { pack: PackWrite<String>, machines: Vec<StoredMachine> },
-    /// A value of results; without any it is dropped.
-    Results { pack: PackWrite<(JobId, u32)>, chunks: Vec<(JobId, u32, Vec<u8>)> },
-    /// The job's record becomes done. `stamp` is that of the open record.
-    Done { job: JobId, stamp: u64, tasks: u32 },
-}
-
-/// How a batch of writes ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum SaveOutcome {
-    /// With the stamp that all of it has now.
-    Ok(u64),
-    /// Surely not written, and never will be.
-    NotDone,
-    /// May have been written, or may be later.
-    Unknown,
-    /// Nothing was written, since these have changed: jobs closed by somebody else, values of
-    /// which an earlier write came late.
-    Conflict { jobs: Vec<JobId>, fleet: Vec<String>, results: Vec<String> },
-}
-
-/// What happens to the leader.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// An unfinished job of the mirror.
-    Job {
-        spec: Arc<JobSpec>,
-        submitted_at: Millis,
-        stamp: u64,
-        done: Option<Bitmap>,
-    },
-    /// A job was cancelled, or called done by an earlier leader.
-    Closed(JobId),
-    Report(Report),
-    /// The same by way of another node, which its worker could reach.
-    Relayed(Report),
-    Called {
-        machine: String,
-        call: u64,
-        outcome: CallOutcome,
-    },
-    Hired {
-        hire: String,
-        outcome: HireOutcome,
-    },
-    Returned {
-        names: Vec<String>,
-        ok: bool,
-    },
-    Listed(Vec<Listed>),
-    Saved {
-        writes: Vec<Write>,
-        outcome: SaveOutcome,
-    },
-    /// The cloud's types and prices.
-    Types(Vec<MachineType>),
-    Tick,
-}
-
-/// What the leader wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// The answer to the report that was the event.
-    Answer(Vec<Command>),
-    Call {
-        machine: String,
-        addr: String,
-        session: u64,
-        call: u64,
-        commands: Vec<Command>,
-    },
-    Hire {
-        hire: String,
-        offer: Offer,
-        number: u32,
-    },
-    Return(Vec<String>),
-    /// Ask the cloud for its list.
-    List,
-    /// Something waits to be written: ask [`Cluster::next_writes`].
-    Save,
-    /// A higher token has been seen, or our workers hear us no more: leave office.
-    Resign(&'static str),
-    /// For the log, once each.
-    Note(String),
-}
-
 /// Counts of the cluster.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Summary {
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -1,6 +1,6 @@
 //! Drives the core while this node is in office: events in, effects out.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,18 +8,17 @@
 use latchtrack_core::bitmap::Bitmap;
 use latchtrack_core::job::{JobId, JobSpec};
 use latchtrack_core::leader::{
-    CallOutcome, Cluster, Effect, Event, HireOutcome, Policy, SaveOutcome, Stamps, StoredFleet,
-    StoredResults, Write,
+    CallOutcome, Cluster, Effect, Event, HireOutcome, Policy, SaveOutcome, Stamps, Write,
 };
 use latchtrack_core::machine::{Command, MachineType, Report};
-use serde_json::value::RawValue;
 
 use super::cloud::{Cloud, Errand};
 use super::election::{Deposed, Election, Resign};
 use super::intake::Types;
-use super::job_cache::{Counts, Inheritance, JobCache, Learn, OpenJob, OpenJobs};
+use super::job_cache::{Counts, JobCache, Learn};
 use super::peers::{Peers, Tell};
 use super::store::{self, Ask, Class, Reply, Store, StoreError};
+use super::stored::{conflict, read_picture, transaction, StoredPicture};
 use crate::clock::{self, now_ms};
 use crate::constants::*;
 use crate::net::{finish, http_client, CallError};
@@ -97,13 +96,6 @@
     pub event: Event,
 }
 
-struct StoredPicture {
-    jobs: Vec<OpenJob>,
-    vacant: Option<u64>,
-    fleet: Vec<StoredFleet>,
-    results: Vec<StoredResults>,
-}
-
 pub struct Leader {
     store: Addr<Store>,
     cache: Addr<JobCache>,
@@ -467,91 +459,6 @@
     }
 }
 
-/// The transaction of a batch: fenced by the leader key; for a job that becomes done by the stamp
-/// of its record, which a cancellation would have changed; for a packed value by its own, which a
-/// late write of ours would have.
-fn transaction(token: u64, writes: &[Write]) -> Option<Txn> {
-    let mut conditions = vec![Condition { key: LEADER.into(), version: token }];
-    let mut changes = Vec::new();
-    let put = |key, value| Change::Put { key, value, lease: None };
-    for w in writes {
-        let (key, expect, value) = match w {
-            Write::Fleet { pack, machines } => (
-                fleet_key(&pack.name),
-                pack.expect,
-                packed(machines.is_empty(), || fleet(machines))?,
-            ),
-            Write::Results { pack, chunks } => (
-                results_key(&pack.name),
-                pack.expect,
-                packed(chunks.is_empty(), || results(chunks))?,
-            ),
-            Write::Done { job, stamp, tasks } => {
-                let value = Record::Done { tasks: *tasks }.to_json().ok()?;
-                (job_key(*job), Some(*stamp), Some(value))
-            }
-        };
-        if let Some(version) = expect {
-            conditions.push(Condition { key: key.clone(), version });
-        }
-        changes.push(match value {
-            Some(value) => put(key, value),
-            None => Change::Delete { key },
-        });
-    }
-    Some(Txn { conditions, changes })
-}
-
-/// A packed value; Some(None) is a drop.
-#[allow(clippy::option_option)]
-fn packed(
-    empty: bool,
-    value: impl FnOnce() -> serde_json::Result<Box<RawValue>>,
-) -> Option<Option<Box<RawValue>>> {
-    if empty {
-        return Some(None);
-    }
-    value().ok().map(Some)
-}
-
-/// What stood in the way of a write.
-fn conflict(keys: &[String]) -> SaveOutcome {
-    let under = |prefix: &str| -> Vec<String> {
-        keys.iter().filter_map(|k| k.strip_prefix(prefix)).map(str::to_string).collect()
-    };
-    let jobs = under(JOBS).iter().filter_map(|t| t.parse().ok()).collect();
-    SaveOutcome::Conflict { jobs, fleet: under(FLEET), results: under(RESULTS) }
-}
-
-/// Reads open jobs, results and machine set; None if the state service can't be asked. All of it
-/// is as new as this term, since an earlier leader's writes are fenced.
-async fn read_picture(store: &Addr<Store>, cache: &Addr<JobCache>) -> Option<StoredPicture> {
-    let (stored, _) = store::read_all(store, FLEET).await.ok()?;
-    let (chunks, _) = store::read_all(store, RESULTS).await.ok()?;
-    let Inheritance { jobs, vacant } = cache.send(OpenJobs).await.ok()?.ok()?;
-    let mut fleet = Vec::new();
-    for item in stored {
-        let Some(name) = item.key.strip_prefix(FLEET) else { continue };
-        let machines = read_fleet(name, item.value.get())
-            .map_err(|e| tracing::error!("the machines under {name} are garbled: {e}"))
-            .ok();
-        fleet.push(StoredFleet { name: name.to_string(), stamp: item.version, machines });
-    }
-    let open: HashSet<JobId> = jobs.iter().map(|(spec, ..)| spec.id).collect();
-    let mut results = Vec::new();
-    for item in chunks {
-        let Some(name) = item.key.strip_prefix(RESULTS) else { continue };
-        let mut chunks = read_results(name, item.value.get()).unwrap_or_else(|| {
-            // Its tasks run again; their results were kept by nobody else.
-            tracing::error!("the results under {name} are garbled");
-            Vec::new()
-        });
-        chunks.retain(|(id, ..)| open.contains(id));
-        results.push(StoredResults { name: name.to_string(), stamp: item.version, chunks });
-    }
-    Some(StoredPicture { jobs, vacant, fleet, results })
-}
-
 impl Actor for Leader {
     type Context = Context<Self>;
 
@@ -681,32 +588,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use latchtrack_core::packs::PackWrite;
-
-    use super::*;
-
-    #[test]
-    fn every_write_of_the_leader_is_fenced() {
-        let pack = |expect| PackWrite { name: "41-1".into(), expect, entries: Vec::new() };
-        let writes = vec![
-            Write::Fleet { pack: pack(Some(7)), machines: Vec::new() },
-            Write::Results {
-                pack: PackWrite { name: "41-1".into(), expect: None, entries: Vec::new() },
-                chunks: vec![(JobId(5), 0, vec![3])],
-            },
-            Write::Done { job: JobId(5), stamp: 9, tasks: 2 },
-        ];
-        let txn = transaction(41, &writes).unwrap();
-        let fences: Vec<(&str, u64)> =
-            txn.conditions.iter().map(|c| (c.key.as_str(), c.version)).collect();
-        assert_eq!(fences, [(LEADER, 41), ("fleet/41-1", 7), ("live/job/req-000005", 9)]);
-        assert_eq!(txn.changes.len(), 3);
-        assert!(matches!(&txn.changes[0], Change::Delete { key } if key == "fleet/41-1"));
-        let failed = ["fleet/41-1".to_string(), "live/job/req-000005".to_string()];
-        let SaveOutcome::Conflict { jobs, fleet, .. } = conflict(&failed) else { panic!() };
-        assert_eq!((jobs, fleet), (vec![JobId(5)], vec!["41-1".to_string()]));
-    }
-}
--- a/crates/latchtrack/src/actors/mod.rs
+++ b/crates/latchtrack/src/actors/mod.rs
@@ -7,3 +7,4 @@
 pub mod leader;
 pub mod peers;
 pub mod store;
+mod stored;
--- /dev/null
+++ b/crates/latchtrack/src/actors/stored.rs
@@ -0,0 +1,135 @@
+//! What the leader reads from the state service and writes to it.
+
+use std::collections::HashSet;
+
+use actix::prelude::*;
+use latchtrack_core::job::JobId;
+use latchtrack_core::leader::{SaveOutcome, StoredFleet, StoredResults, Write};
+use serde_json::value::RawValue;
+
+use super::job_cache::{Inheritance, JobCache, OpenJob, OpenJobs};
+use super::store::{self, Store};
+use crate::wire::records::*;
+use crate::wire::store::{Change, Condition, Txn};
+
+/// All that a new leader reads.
+pub struct StoredPicture {
+    pub jobs: Vec<OpenJob>,
+    pub vacant: Option<u64>,
+    pub fleet: Vec<StoredFleet>,
+    pub results: Vec<StoredResults>,
+}
+
+/// The transaction of a batch: fenced by the leader key; for a job that becomes done by the stamp
+/// of its record, which a cancellation would have changed; for a packed value by its own, which a
+/// late write of ours would have.
+pub fn transaction(token: u64, writes: &[Write]) -> Option<Txn> {
+    let mut conditions = vec![Condition { key: LEADER.into(), version: token }];
+    let mut changes = Vec::new();
+    let put = |key, value| Change::Put { key, value, lease: None };
+    for w in writes {
+        let (key, expect, value) = match w {
+            Write::Fleet { pack, machines } => (
+                fleet_key(&pack.name),
+                pack.expect,
+                packed(machines.is_empty(), || fleet(machines))?,
+            ),
+            Write::Results { pack, chunks } => (
+                results_key(&pack.name),
+                pack.expect,
+                packed(chunks.is_empty(), || results(chunks))?,
+            ),
+            Write::Done { job, stamp, tasks } => {
+                let value = Record::Done { tasks: *tasks }.to_json().ok()?;
+                (job_key(*job), Some(*stamp), Some(value))
+            }
+        };
+        if let Some(version) = expect {
+            conditions.push(Condition { key: key.clone(), version });
+        }
+        changes.push(match value {
+            Some(value) => put(key, value),
+            None => Change::Delete { key },
+        });
+    }
+    Some(Txn { conditions, changes })
+}
+
+/// A packed value; Some(None) is a drop.
+#[allow(clippy::option_option)]
+fn packed(
+    empty: bool,
+    value: impl FnOnce() -> serde_json::Result<Box<RawValue>>,
+) -> Option<Option<Box<RawValue>>> {
+    if empty {
+        return Some(None);
+    }
+    value().ok().map(Some)
+}
+
+/// What stood in the way of a write.
+pub fn conflict(keys: &[String]) -> SaveOutcome {
+    let under = |prefix: &str| -> Vec<String> {
+        keys.iter().filter_map(|k| k.strip_prefix(prefix)).map(str::to_string).collect()
+    };
+    let jobs = under(JOBS).iter().filter_map(|t| t.parse().ok()).collect();
+    SaveOutcome::Conflict { jobs, fleet: under(FLEET), results: under(RESULTS) }
+}
+
+/// Reads open jobs, results and machine set; None if the state service can't be asked. All of it
+/// is as new as this term, since an earlier leader's writes are fenced.
+pub async fn read_picture(store: &Addr<Store>, cache: &Addr<JobCache>) -> Option<StoredPicture> {
+    let (stored, _) = store::read_all(store, FLEET).await.ok()?;
+    let (chunks, _) = store::read_all(store, RESULTS).await.ok()?;
+    let Inheritance { jobs, vacant } = cache.send(OpenJobs).await.ok()?.ok()?;
+    let mut fleet = Vec::new();
+    for item in stored {
+        let Some(name) = item.key.strip_prefix(FLEET) else { continue };
+        let machines = read_fleet(name, item.value.get())
+            .map_err(|e| tracing::error!("the machines under {name} are garbled: {e}"))
+            .ok();
+        fleet.push(StoredFleet { name: name.to_string(), stamp: item.version, machines });
+    }
+    let open: HashSet<JobId> = jobs.iter().map(|(spec, ..)| spec.id).collect();
+    let mut results = Vec::new();
+    for item in chunks {
+        let Some(name) = item.key.strip_prefix(RESULTS) else { continue };
+        let mut chunks = read_results(name, item.value.get()).unwrap_or_else(|| {
+            // Its tasks run again; their results were kept by nobody else.
+            tracing::error!("the results under {name} are garbled");
+            Vec::new()
+        });
+        chunks.retain(|(id, ..)| open.contains(id));
+        results.push(StoredResults { name: name.to_string(), stamp: item.version, chunks });
+    }
+    Some(StoredPicture { jobs, vacant, fleet, results })
+}
+
+#[cfg(test)]
+mod tests {
+    use latchtrack_core::packs::PackWrite;
+
+    use super::*;
+
+    #[test]
+    fn every_write_of_the_leader_is_fenced() {
+        let pack = |expect| PackWrite { name: "41-1".into(), expect, entries: Vec::new() };
+        let writes = vec![
+            Write::Fleet { pack: pack(Some(7)), machines: Vec::new() },
+            Write::Results {
+                pack: PackWrite { name: "41-1".into(), expect: None, entries: Vec::new() },
+                chunks: vec![(JobId(5), 0, vec![3])],
+            },
+            Write::Done { job: JobId(5), stamp: 9, tasks: 2 },
+        ];
+        let txn = transaction(41, &writes).unwrap();
+        let fences: Vec<(&str, u64)> =
+            txn.conditions.iter().map(|c| (c.key.as_str(), c.version)).collect();
+        assert_eq!(fences, [(LEADER, 41), ("fleet/41-1", 7), ("live/job/req-000005", 9)]);
+        assert_eq!(txn.changes.len(), 3);
+        assert!(matches!(&txn.changes[0], Change::Delete { key } if key == "fleet/41-1"));
+        let failed = ["fleet/41-1".to_string(), "live/job/req-000005".to_string()];
+        let SaveOutcome::Conflict { jobs, fleet, .. } = conflict(&failed) else { panic!() };
+        assert_eq!((jobs, fleet), (vec![JobId(5)], vec!["41-1".to_string()]));
+    }
+}
