--- a/crates/latchtrack-core/src/job.rs
+++ b/crates/latchtrack-core/src/job.rs
@@ -99,6 +99,13 @@
     pub deadline_s: Option<f64>,
 }
 
+impl JobSpec {
+    /// Whether where its tasks are has a say in where others may start.
+    pub fn zoned(&self) -> bool {
+        self.one_zone || self.spread
+    }
+}
+
 /// Where a task is.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Place {
--- a/crates/latchtrack-core/src/leader/boots.rs
+++ b/crates/latchtrack-core/src/leader/boots.rs
@@ -48,6 +48,10 @@
     (m.kind.clone(), m.zone.clone())
 }
 
+fn class_of_offer(offer: &Offer) -> Class {
+    (offer.kind.as_str().into(), offer.zone.as_str().into())
+}
+
 /// Rented, and neither heard nor given up.
 fn is_awaited(m: &Machine) -> bool {
     !m.up() && !m.inherited && !m.leaving
@@ -154,15 +158,14 @@
 
     /// How many machines are not up though they should be.
     pub(super) fn late_boots(&self, now: Millis) -> usize {
-        let late =
-            |m: &&Machine| is_booting(m) && now.saturating_sub(m.rented_at) > self.counted_on_ms(m);
+        let late = |m: &&Machine| is_booting(m) && self.is_late(now, m);
         self.machines.values().filter(late).count()
     }
 
     /// How many machines of an offer may be rented: of a class that is late a few now and then, as more
     /// of them would not help sooner.
     pub(super) fn may_rent(&self, now: Millis, offer: &Offer) -> u32 {
-        match self.boots.late.get(&(offer.kind.as_str().into(), offer.zone.as_str().into())) {
+        match self.boots.late.get(&class_of_offer(offer)) {
             Some(trials) if now < trials.rented.saturating_add(BOOT_TRIAL_MS) => 0,
             Some(_) => BOOTS_TRIED as u32,
             None => HIRE_MOST,
@@ -170,8 +173,7 @@
     }
 
     pub(super) fn rented(&mut self, now: Millis, offer: &Offer) {
-        let class = (offer.kind.as_str().into(), offer.zone.as_str().into());
-        if let Some(trials) = self.boots.late.get_mut(&class) {
+        if let Some(trials) = self.boots.late.get_mut(&class_of_offer(offer)) {
             trials.rented = now;
         }
     }
@@ -181,10 +183,10 @@
         self.boots.usual.get(&class_of(m)).copied().unwrap_or(0) as f64
     }
 
-    /// Age up to which a machine that is not up is counted on.
-    pub(super) fn counted_on_ms(&self, m: &Machine) -> Millis {
+    /// Whether a machine that is not up is too old to be counted on.
+    pub(super) fn is_late(&self, now: Millis, m: &Machine) -> bool {
         let limit = boot_limit(&self.types, &m.kind, BOOT_LATE);
-        limit.max((self.usual_boot(m) * BOOT_LATE) as Millis)
+        now.saturating_sub(m.rented_at) > limit.max((self.usual_boot(m) * BOOT_LATE) as Millis)
     }
 
     /// Age from which a machine that is not up may be given back.
--- a/crates/latchtrack-core/src/leader/doubt.rs
+++ b/crates/latchtrack-core/src/leader/doubt.rs
@@ -52,7 +52,6 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.in_doubt = true;
         job.passed_since = None;
-        self.doubted.insert(id);
         let n = job.failed_on.len();
         self.out.push(Effect::Note(format!(
             "job {id} fails everywhere ({n} machines): one task at a time from now on"
@@ -76,7 +75,6 @@
         if !std::mem::take(&mut job.in_doubt) {
             return;
         }
-        self.doubted.remove(&id);
         self.out.push(Effect::Note(format!("job {id} does not fail everywhere")));
         for name in job.failed_on.clone() {
             self.blame(now, &name, id);
@@ -98,8 +96,7 @@
 
     /// Jobs in doubt of which a task does well.
     pub(super) fn watch_doubted(&mut self, now: Millis) {
-        let well: Vec<JobId> =
-            self.doubted.iter().copied().filter(|id| self.does_well(now, *id)).collect();
+        let well: Vec<JobId> = self.doubted().filter(|id| self.does_well(now, *id)).collect();
         for id in well {
             self.restore(now, id);
         }
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -146,6 +146,7 @@
         self.watch_list(now);
         self.watch_silence(now);
         self.watch_notices();
+        self.watch_boots(now);
         self.watch_idle(now);
         self.watch_deaf(now);
         self.watch_doubted(now);
@@ -326,7 +327,6 @@
     pub(super) fn watch_idle(&mut self, now: Millis) {
         let mut back = Vec::new();
         let probe_ms = self.policy.probe_ms();
-        self.watch_boots(now);
         for m in self.machines.values_mut().filter(|m| !m.deleting) {
             let no_runs = !m.runs.values().any(Run::live);
             // A result that is not stored is lost with its machine.
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -90,8 +90,6 @@
     listed_at: Option<Millis>,
     finished: BTreeSet<JobId>,
     boots: Boots,
-    /// Jobs that show nothing but failures.
-    doubted: BTreeSet<JobId>,
     /// Values of the machine set that can't be read: until every lease of before this term has run
     /// out, tasks may be on machines that we do not know.
     garbled: Vec<(String, u64)>,
@@ -200,7 +198,6 @@
             listed_at: None,
             finished: BTreeSet::new(),
             boots: Boots::default(),
-            doubted: BTreeSet::new(),
             garbled,
             fleet,
             results: kept,
@@ -244,7 +241,7 @@
     /// What the cluster looks like, for the log.
     pub fn summary(&self, now: Millis) -> Summary {
         let mut s = Summary {
-            doubted: self.doubted.len(),
+            doubted: self.doubted().count(),
             unsaved: self.finished.len(),
             late: self.late_boots(now),
             ..Summary::default()
@@ -297,7 +294,7 @@
 
     /// Jobs that have shown nothing but failures.
     pub fn doubted(&self) -> impl Iterator<Item = JobId> + '_ {
-        self.doubted.iter().copied()
+        self.jobs.iter().filter(|(_, job)| job.in_doubt).map(|(id, _)| *id)
     }
 
     /// Zones of which nothing is heard.
@@ -376,7 +373,6 @@
             return;
         }
         self.finished.remove(&id);
-        self.doubted.remove(&id);
         self.forget_results(id);
         for (name, m) in &mut self.machines {
             if stop_runs_of(m, id) {
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -77,7 +77,7 @@
         let t = self.type_of(&m.kind)?;
         let used = m.used()?;
         // One on its way in a zone that is not heard will not be of use soon.
-        let late = || now.saturating_sub(m.rented_at) > self.counted_on_ms(m);
+        let late = || self.is_late(now, m);
         if !m.up() && (self.quiet.contains(&m.zone) || late()) {
             return None;
         }
@@ -167,8 +167,7 @@
     fn fits_here(&self, now: Millis, job: &Job, machine: &str, room: &Room) -> u32 {
         let spec = &job.spec;
         if job.pause_until > now
-            || spec.one_zone
-            || spec.spread
+            || spec.zoned()
             || !placement::allowed(spec, &room.kind, &room.zone, room.spot)
             || self.avoids(now, job, machine)
             || self.policy.teams.iter().any(|t| t.name == spec.team && has_limit(t))
@@ -380,7 +379,7 @@
             return;
         }
         // What a job finds that is bound by where its other tasks are says nothing of its like.
-        let zoned = spec.one_zone || spec.spread;
+        let zoned = spec.zoned();
         let live = self.live_zones(job).into_iter().next();
         let bound = live.is_some();
         let only = match spec.one_zone {
@@ -498,7 +497,7 @@
 
     /// The zones of a job's live tasks, one entry a task, if they have a say in where others may start.
     fn live_zones(&self, job: &Job) -> Vec<Arc<str>> {
-        if !job.spec.one_zone && !job.spec.spread {
+        if !job.spec.zoned() {
             return Vec::new();
         }
         let on = job.placed.values().filter_map(|p| self.machines.get(&*p.machine));
@@ -524,7 +523,7 @@
         let by_key = |a: &(Key, usize), b: &(Key, usize)| {
             a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)
         };
-        if !spec.one_zone && !spec.spread && keyed.len() > want as usize {
+        if !spec.zoned() && keyed.len() > want as usize {
             keyed.select_nth_unstable_by(want as usize, by_key);
             keyed.truncate(want as usize);
         }
--- a/crates/latchtrack-core/src/rules.rs
+++ b/crates/latchtrack-core/src/rules.rs
@@ -29,7 +29,7 @@
     if !allowed(spec, kind, zone, spot) {
         return false;
     }
-    if !spec.one_zone && !spec.spread {
+    if !spec.zoned() {
         return true;
     }
     let (mut here, mut elsewhere) = (0u32, 0u32);
--- a/crates/latchtrack-core/tests/common/mod.rs
+++ b/crates/latchtrack-core/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 use latchtrack_core::job::{Demand, JobId, JobSpec, Priority};
 use latchtrack_core::leader::{Policy, Team};
+use latchtrack_core::machine::MachineType;
 use latchtrack_core::placement::Weights;
 
 /// The workers' lease.
@@ -32,6 +33,22 @@
     }
 }
 
+/// A type of eight CPUs, in these zones.
+pub fn machine_type(zones: Vec<String>) -> MachineType {
+    MachineType {
+        name: "g".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 10.0,
+        cache_gb: 4.0,
+        fetch_gb_per_s: 0.5,
+        zones,
+    }
+}
+
 pub fn name(i: u64) -> String {
     format!("n-{i:06}")
 }
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -12,18 +12,7 @@
 const STAMPS: Stamps = Stamps { token: 7, vacant: 7 };
 
 fn types() -> Vec<MachineType> {
-    vec![MachineType {
-        name: "g".into(),
-        cpus: 8.0,
-        gpus: 0.0,
-        memory_gb: 32.0,
-        price: 1.0,
-        spot_price: 0.3,
-        boot_s: 10.0,
-        cache_gb: 4.0,
-        fetch_gb_per_s: 0.5,
-        zones: vec!["a".into()],
-    }]
+    vec![machine_type(vec!["a".into()])]
 }
 
 /// The stored set of so many machines, in one value.
--- a/crates/latchtrack-core/tests/zones.rs
+++ b/crates/latchtrack-core/tests/zones.rs
@@ -60,18 +60,7 @@
         };
         let machines = Some((0..3 * PER_ZONE).map(machine).collect());
         let stored = vec![StoredFleet { name: "3-1".into(), stamp: 4, machines }];
-        let types = vec![MachineType {
-            name: "g".into(),
-            cpus: 8.0,
-            gpus: 0.0,
-            memory_gb: 32.0,
-            price: 1.0,
-            spot_price: 0.3,
-            boot_s: 10.0,
-            cache_gb: 4.0,
-            fetch_gb_per_s: 0.5,
-            zones: (0..3).map(zone).collect(),
-        }];
+        let types = vec![machine_type((0..3).map(zone).collect())];
         let stamps = Stamps { token: 7, vacant: 7 };
         let mut c = Cluster::new(settings(), stamps, types, stored, Vec::new(), 1_000);
         let tasks = 3 * PER_ZONE as u32;
--- a/crates/latchtrack/src/http/mod.rs
+++ b/crates/latchtrack/src/http/mod.rs
@@ -12,7 +12,7 @@
 use futures_util::StreamExt;
 
 use crate::actors::intake::Intake;
-use crate::actors::job_cache::{JobCache, Served};
+use crate::actors::job_cache::JobCache;
 use crate::actors::leader::{Inspect, Leader};
 use crate::actors::peers::{PassOn, Peers};
 use crate::constants::{BODY_BYTES, BODY_TIMEOUT, RETRY_AFTER_S};
@@ -88,7 +88,7 @@
 
 /// What this node sees, for an operator.
 async fn status(desk: &Desk) -> HttpResponse {
-    let served = desk.cache.send(Served).await.unwrap_or(false);
+    let served = users::served(desk).await;
     match desk.leader.send(Inspect { served }).await {
         Ok(view) => HttpResponse::Ok().json(view.0),
         Err(_) => later("too busy to tell"),
--- a/crates/latchtrack/src/http/users.rs
+++ b/crates/latchtrack/src/http/users.rs
@@ -55,7 +55,7 @@
     answer_here(desk, ask).await
 }
 
-async fn served(desk: &Desk) -> bool {
+pub(super) async fn served(desk: &Desk) -> bool {
     desk.cache.send(Served).await.unwrap_or(false)
 }
 
--- a/crates/latchtrack/src/wire/records.rs
+++ b/crates/latchtrack/src/wire/records.rs
@@ -227,6 +227,7 @@
 /// A machine type as it is stored. The earlier form, an array of the same fields in this order, is read as
 /// well.
 #[derive(Serialize, Deserialize)]
+#[serde(remote = "MachineType")]
 struct TypeRecord {
     name: String,
     cpus: f64,
@@ -240,57 +241,24 @@
     zones: Vec<String>,
 }
 
-impl From<&MachineType> for TypeRecord {
-    fn from(t: &MachineType) -> Self {
-        let MachineType { cpus, gpus, memory_gb, price, spot_price, boot_s, .. } = *t;
-        let MachineType { cache_gb, fetch_gb_per_s, .. } = *t;
-        let (name, zones) = (t.name.clone(), t.zones.clone());
-        TypeRecord {
-            name,
-            cpus,
-            gpus,
-            memory_gb,
-            price,
-            spot_price,
-            boot_s,
-            cache_gb,
-            fetch_gb_per_s,
-            zones,
-        }
-    }
-}
-
-impl TypeRecord {
-    /// None if a number makes no sense.
-    fn read(self) -> Option<MachineType> {
-        let TypeRecord { name, cpus, gpus, memory_gb, price, spot_price, boot_s, .. } = self;
-        let TypeRecord { cache_gb, fetch_gb_per_s, zones, .. } = self;
-        let t = MachineType {
-            name,
-            cpus,
-            gpus,
-            memory_gb,
-            price,
-            spot_price,
-            boot_s,
-            cache_gb,
-            fetch_gb_per_s,
-            zones,
-        };
-        let numbers = [cpus, gpus, memory_gb, price, spot_price, boot_s, cache_gb, fetch_gb_per_s];
-        numbers.iter().all(|n| n.is_finite() && *n >= 0.0).then_some(t)
-    }
-}
+#[derive(Serialize, Deserialize)]
+struct StoredType(#[serde(with = "TypeRecord")] MachineType);
 
 /// The stored machine types.
 pub fn types(types: &[MachineType]) -> serde_json::Result<Box<RawValue>> {
-    serde_json::value::to_raw_value(&types.iter().map(TypeRecord::from).collect::<Vec<_>>())
+    let records: Vec<StoredType> = types.iter().cloned().map(StoredType).collect();
+    serde_json::value::to_raw_value(&records)
 }
 
-/// Reads the stored machine types; None if they are garbled.
+/// Reads the stored machine types; None if they are garbled or a number makes no sense.
 pub fn read_types(json: &str) -> Option<Vec<MachineType>> {
-    let records: Vec<TypeRecord> = serde_json::from_str(json).ok()?;
-    records.into_iter().map(TypeRecord::read).collect()
+    let records: Vec<StoredType> = serde_json::from_str(json).ok()?;
+    let sane = |t: &MachineType| {
+        let size = [t.cpus, t.gpus, t.memory_gb, t.price, t.spot_price];
+        let times = [t.boot_s, t.cache_gb, t.fetch_gb_per_s];
+        size.iter().chain(&times).all(|n| n.is_finite() && *n >= 0.0)
+    };
+    records.into_iter().map(|StoredType(t)| sane(&t).then_some(t)).collect()
 }
 
 /// Whether two lists of types differ in nothing but prices, which move and are not worth a write.
