--- a/crates/latchtrack-core/tests/simulation.rs
+++ b/crates/latchtrack-core/tests/simulation/main.rs
@@ -4,6 +4,7 @@
 //! against what really runs. Each guard is broken once on purpose, from outside the core, to show
 //! that the checks would tell.
 
+mod meetings;
 mod world;
 
 use world::{Broken, Planned, Size, World, FLEET, LARGE, SMALL};
@@ -189,7 +190,19 @@
 /// Troubles at set times: each run ends with every rule kept, every job done and every class, team
 /// and largest job served.
 fn ends_well(what: &str, size: Size, seeds: std::ops::Range<u64>, plan: &[(u64, Planned)]) -> u64 {
+    meets(what, size, seeds, plan, &[])
+}
+
+/// The same, and what the troubles were to bring about came about so often, in all seeds together.
+fn meets(
+    what: &str,
+    size: Size,
+    seeds: std::ops::Range<u64>,
+    plan: &[(u64, Planned)],
+    least: &[(&str, u64)],
+) -> u64 {
     let mut terms = 0;
+    let mut met = std::collections::BTreeMap::new();
     for seed in seeds {
         let mut world = World::sized(seed, Broken::Nothing, size).planned(plan);
         world.run();
@@ -197,6 +210,13 @@
         assert_eq!(world.unfinished(), Vec::<String>::new(), "{what}, seed {seed}");
         assert_eq!(world.poorly_served(), Vec::<String>::new(), "{what}, seed {seed}");
         terms += world.terms;
+        for (name, n) in world.met {
+            *met.entry(name).or_insert(0) += n;
+        }
+    }
+    for (name, n) in least {
+        let times = met.get(name).copied().unwrap_or(0);
+        assert!(times >= *n, "{what}: {name} {times} times, {n} at least");
     }
     terms
 }
--- a/crates/latchtrack-core/tests/world/cloud.rs
+++ b/crates/latchtrack-core/tests/simulation/world/cloud.rs
@@ -44,6 +44,7 @@
                 next_report: 0,
                 cut_until: 0,
                 deaf_until: 0,
+                mute_until: 0,
                 hang_until: 0,
                 sick: false,
                 done_here: BTreeSet::new(),
--- a/crates/latchtrack-core/tests/world/mod.rs
+++ b/crates/latchtrack-core/tests/simulation/world/mod.rs
@@ -113,6 +113,29 @@
     Mistakes(usize),
     /// A part of the machines fails every task.
     Sick(f64),
+    /// The state service refuses the leader alone, which keeps hearing its workers.
+    RefuseLeader(u64),
+    /// Of a part of the machines reports arrive, answers and commands don't.
+    Deaf(f64, u64),
+    /// A part of the machines reaches no node; direct commands reach them.
+    Mute(f64, u64),
+    /// A part of the machines is cut off; what they send is held back or lost.
+    Cut(f64, u64),
+    /// Users cancel so many jobs that run; up to eight of their machines hang for so many ms.
+    CancelNow(usize, u64),
+    /// For so many ms a part of the jobs that end is cancelled at the end of their last task.
+    CancelAtEnd(f64, u64),
+    /// For so many ms a part of the leader's writes gets no answer and is carried out 2 to 12 s late.
+    LateWrites(f64, u64),
+    /// The same, but they are carried out at once: only the answer is lost.
+    LostAnswers(f64, u64),
+    /// For so many ms of a part of the reports a copy is kept, and reaches every node as soon as a
+    /// new leader begins.
+    CopiesForNext(f64, u64),
+    /// For so many ms four jobs of one task come a second; a quarter of them is cancelled.
+    Swarm(u64),
+    /// A part of the machines of a zone dies, where jobs of one zone are at work.
+    LoseZone(f64),
 }
 
 /// Which guard is broken.
@@ -140,6 +163,12 @@
     AlwaysVacant,
     /// Tasks of silent machines are freed before their lease has run out.
     ShortLease,
+    /// What cancelled tasks use does not count against their team's limit.
+    CancelledUseNothing,
+    /// A job that ended is called done, be it cancelled meanwhile.
+    DoneAnyway,
+    /// A new leader misses some of the open jobs.
+    Forgetful,
     NoLimit,
     AnyPlace,
     EarlyDone,
@@ -162,6 +191,8 @@
     mistaken: bool,
     submitted_at: u64,
     begun: Option<u64>,
+    /// Since when a task of it has waited though a machine that fits had room.
+    passed_since: Option<u64>,
 }
 
 struct WTask {
@@ -187,6 +218,8 @@
     cut_until: u64,
     /// Its reports arrive, answers and commands don't.
     deaf_until: u64,
+    /// It reaches no node; commands reach it.
+    mute_until: u64,
     hang_until: u64,
     sick: bool,
     done_here: BTreeSet<TaskId>,
@@ -311,12 +344,22 @@
     cloud_down_until: u64,
     /// Times the usual boot, chance of none, and until when.
     boots: (f64, f64, u64),
+    /// Parts of the writes that are late, of those that lose their answer, of the reports of which a
+    /// copy is kept for the next leader, of the ending jobs that are cancelled; each until when.
+    late_writes: (f64, u64),
+    lost_answers: (f64, u64),
+    copies_kept: (f64, u64),
+    cancels_at_end: (f64, u64),
+    swarm_until: u64,
+    kept: Vec<(String, Report)>,
     workers: BTreeMap<String, Worker>,
     hires: BTreeMap<String, Vec<String>>,
     next_machine: u64,
     nodes: Vec<Node>,
     // Referee.
     pub violations: Vec<String>,
+    /// What the planned troubles came to, so that tests can tell that they did.
+    pub met: BTreeMap<&'static str, u64>,
     completed: BTreeSet<TaskId>,
     pub terms: u64,
     pub late_commands: u64,
@@ -396,11 +439,18 @@
             plan: Vec::new(),
             cloud_down_until: 0,
             boots: (1.0, 0.03, 0),
+            late_writes: (0.0, 0),
+            lost_answers: (0.0, 0),
+            copies_kept: (0.0, 0),
+            cancels_at_end: (0.0, 0),
+            swarm_until: 0,
+            kept: Vec::new(),
             workers: BTreeMap::new(),
             hires: BTreeMap::new(),
             next_machine: 0,
             nodes,
             violations: Vec::new(),
+            met: BTreeMap::new(),
             completed: BTreeSet::new(),
             terms: 0,
             late_commands: 0,
@@ -475,9 +525,15 @@
                 self.step_node(n);
             }
             self.check_cancelled();
+            self.check_waiting();
         }
     }
 
+    /// Counts that something came about.
+    fn meets(&mut self, what: &'static str) {
+        *self.met.entry(what).or_default() += 1;
+    }
+
     pub fn jobs_done(&self) -> usize {
         self.jobs.values().filter(|j| matches!(j.state, State::Done)).count()
     }
--- a/crates/latchtrack-core/tests/world/nodes.rs
+++ b/crates/latchtrack-core/tests/simulation/world/nodes.rs
@@ -129,6 +129,15 @@
             let open = |id: &JobId| matches!(self.jobs[id].state, State::Open { .. });
             r.chunks.retain(|(id, ..)| open(id));
         }
+        // What was held back of the last leader's time reaches every node now, within a second.
+        for (worker, report) in std::mem::take(&mut self.kept) {
+            for node in 0..self.size.nodes {
+                let (worker, report) = (worker.clone(), report.clone());
+                let delay = self.rng.random_range(1..1_500);
+                self.meets("copies for the next leader");
+                self.post(delay, Msg::Report { node, worker, report, id: 0, sent: self.now });
+            }
+        }
         let node = &mut self.nodes[n];
         node.cluster = Some(Cluster::new(policy, stamps, types(), inherited, results, now));
         node.token = token;
@@ -143,6 +152,7 @@
         let mut events = Vec::new();
         for (id, j) in self.jobs.iter().filter(|(_, j)| j.stamp > seen) {
             match j.state {
+                State::Open { .. } if self.broken == Broken::Forgetful && id.0 % 5 == 0 => {}
                 State::Open { stored_at } => {
                     let mut done = Bitmap::new(j.spec.tasks);
                     for (job, chunk, bytes) in self.results.values().flat_map(|r| &r.chunks) {
@@ -286,7 +296,16 @@
         }
         node.saving = true;
         node.next_save = now + gap;
-        let (delay, tell) = (self.delay(0.03), !self.chance(0.03));
+        let (mut delay, mut tell) = (self.delay(0.03), !self.chance(0.03));
+        if self.now < self.late_writes.1 && self.rng.random_bool(self.late_writes.0) {
+            delay = self.rng.random_range(2_000..12_000);
+            tell = false;
+            self.meets("late write");
+        }
+        if self.now < self.lost_answers.1 && self.rng.random_bool(self.lost_answers.0) {
+            tell = false;
+            self.meets("lost answer");
+        }
         if delay > 2_000 || !tell {
             // Unknown to the node, and perhaps applied late.
             let outcome = SaveOutcome::Unknown;
@@ -305,6 +324,10 @@
         match msg {
             Msg::Report { node, worker, mut report, id, sent } => {
                 self.copies += u64::from(id == 0);
+                if self.broken == Broken::CancelledUseNothing {
+                    let cancelled = |id: &JobId| matches!(self.jobs[id].state, State::Cancelled);
+                    report.tasks.retain(|t| !cancelled(&t.task.job));
+                }
                 if self.broken == Broken::BelieveCopies && id == 0 {
                     report.token = self.nodes[node].token;
                 }
--- a/crates/latchtrack-core/tests/world/store.rs
+++ b/crates/latchtrack-core/tests/simulation/world/store.rs
@@ -53,6 +53,7 @@
                     Write::Done { .. } => {}
                 }
             }
+            let stale = if self.broken == Broken::DoneAnyway { Vec::new() } else { stale };
             if !(stale.is_empty() && fleet.is_empty() && results.is_empty()) {
                 return SaveOutcome::Conflict { jobs: stale, fleet, results };
             }
--- a/crates/latchtrack-core/tests/world/users.rs
+++ b/crates/latchtrack-core/tests/simulation/world/users.rs
@@ -2,6 +2,33 @@
 
 use super::*;
 
+/// ms after the last trouble begins until all of them are over, and that a job may wait with room.
+const SETTLED: u64 = 60_000;
+const WAITS_MOST: u64 = 90_000;
+
+/// Idle-time work of a guest.
+fn guest(class: &str, tasks: u32, cpus: f64, estimate_s: f64) -> JobSpec {
+    JobSpec {
+        id: JobId(0),
+        class: class.into(),
+        team: "free".into(),
+        priority: Priority::Low,
+        tasks,
+        demand: Demand { cpus, gpus: 0.0, memory_gb: cpus },
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "guest".into(),
+        image_gb: 0.5,
+        estimate_s,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
 impl World {
     pub(super) fn begin_planned(&mut self) {
         let due: Vec<Planned> =
@@ -47,19 +74,79 @@
                         }
                     }
                 }
-                Planned::Hang(share, ms) => {
-                    for name in self.workers.keys().cloned().collect::<Vec<_>>() {
-                        if self.rng.random_bool(share) {
-                            if let Some(w) = self.workers.get_mut(&name) {
-                                w.hang_until = now + ms;
-                            }
+                Planned::Hang(share, ms) => self.some(share, |w| w.hang_until = now + ms),
+                Planned::RefuseLeader(ms) => self.nodes[leader].refused_until = now + ms,
+                Planned::Deaf(share, ms) => self.some(share, |w| w.deaf_until = now + ms),
+                Planned::Mute(share, ms) => self.some(share, |w| w.mute_until = now + ms),
+                Planned::Cut(share, ms) => self.some(share, |w| w.cut_until = now + ms),
+                Planned::CancelNow(most, hang) => self.cancel_running(most, hang),
+                Planned::CancelAtEnd(share, ms) => self.cancels_at_end = (share, now + ms),
+                Planned::LateWrites(share, ms) => self.late_writes = (share, now + ms),
+                Planned::LostAnswers(share, ms) => self.lost_answers = (share, now + ms),
+                Planned::CopiesForNext(share, ms) => self.copies_kept = (share, now + ms),
+                Planned::Swarm(ms) => self.swarm_until = now + ms,
+                Planned::LoseZone(share) => {
+                    let bound = self
+                        .workers
+                        .values()
+                        .find(|w| w.tasks.keys().any(|(t, _)| self.jobs[&t.job].spec.one_zone));
+                    let zone = bound.map_or(ZONES[0], |w| w.zone);
+                    self.some(share, |w| {
+                        if w.zone == zone {
+                            w.alive = false;
+                            w.tasks.clear();
                         }
-                    }
+                    });
                 }
             }
         }
     }
 
+    /// Does something to a part of the machines.
+    fn some(&mut self, share: f64, what: impl Fn(&mut Worker)) {
+        for w in self.workers.values_mut() {
+            if self.rng.random_bool(share) {
+                what(w);
+            }
+        }
+    }
+
+    /// Users cancel jobs of which tasks run, of the limited team first, and machines of theirs hang.
+    fn cancel_running(&mut self, most: usize, hang_ms: u64) {
+        if self.now < self.store_down_until {
+            return;
+        }
+        let on = |(t, _): &(TaskId, u64)| t.job;
+        let mut running: Vec<JobId> =
+            self.workers.values().flat_map(|w| w.tasks.keys().map(on)).collect();
+        running.sort_by_key(|id| (self.jobs[id].spec.team != "limited", *id));
+        running.dedup();
+        running.retain(|id| matches!(self.jobs[id].state, State::Open { .. }));
+        running.truncate(most);
+        let mut hang = 8;
+        for id in running {
+            self.cancel(id);
+            self.meets("cancelled while running");
+            let until = self.now + hang_ms;
+            let theirs = |w: &&mut Worker| w.tasks.keys().any(|(t, _)| t.job == id);
+            for w in self.workers.values_mut().filter(theirs).take(hang) {
+                w.hang_until = w.hang_until.max(until);
+                hang -= 1;
+            }
+        }
+    }
+
+    /// A node stores the cancellation of an open job and tells the user.
+    pub(super) fn cancel(&mut self, id: JobId) {
+        self.epoch += 1;
+        let (epoch, now) = (self.epoch, self.now);
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.state = State::Cancelled;
+            j.stamp = epoch;
+            j.told_cancelled = Some(now);
+        }
+    }
+
     pub(super) fn trouble(&mut self) {
         if !self.chance(self.size.troubles) {
             return;
@@ -141,15 +228,29 @@
                 .collect();
             if !open.is_empty() {
                 let id = open[self.rng.random_range(0..open.len())];
-                self.epoch += 1;
-                let (epoch, now) = (self.epoch, self.now);
-                if let Some(j) = self.jobs.get_mut(&id) {
-                    j.state = State::Cancelled;
-                    j.stamp = epoch;
-                    j.told_cancelled = Some(now);
-                }
+                self.cancel(id);
             }
         }
+        if self.now < self.swarm_until && self.chance(self.size.step as f64 / 250.0) {
+            self.swarm();
+        }
+    }
+
+    /// One of many small jobs; a quarter of them is cancelled, some at once.
+    fn swarm(&mut self) {
+        self.next_job += 1;
+        let id = JobId(self.next_job);
+        let spec = JobSpec { id, ..guest("swarm", 1, 0.25, 5.0) };
+        self.accept(spec, 0.0);
+        self.meets("swarm");
+        // One that came a while ago, so that some wait, some run and some are just done.
+        let ago = self.rng.random_range(0..60);
+        let old = JobId(self.next_job.saturating_sub(ago));
+        let open = self.jobs.get(&old).is_some_and(|j| matches!(j.state, State::Open { .. }));
+        if open && self.chance(0.4) {
+            self.cancel(old);
+            self.meets("swarm cancelled");
+        }
     }
 
     pub(super) fn submit(&mut self) {
@@ -191,25 +292,6 @@
 
     /// What a guest brings: idle-time work of long tasks, an array of very many, single small tasks.
     pub(super) fn guests(&mut self) {
-        let guest = |class: &str, tasks, cpus, estimate_s| JobSpec {
-            id: JobId(0),
-            class: class.into(),
-            team: "free".into(),
-            priority: Priority::Low,
-            tasks,
-            demand: Demand { cpus, gpus: 0.0, memory_gb: cpus },
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: true,
-            image: "guest".into(),
-            image_gb: 0.5,
-            estimate_s,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
-        };
         let many = 4 * self.size.tasks;
         for _ in 0..3 {
             self.next_job += 1;
@@ -245,6 +327,7 @@
                 mistaken,
                 submitted_at: self.now,
                 begun: None,
+                passed_since: None,
             },
         );
     }
@@ -294,4 +377,65 @@
             self.violate("ran_cancelled", what);
         }
     }
+
+    /// Once the troubles are over, no job waits for long while a machine that fits has room and its
+    /// team is under its limit: what leaves people waiting for nothing.
+    pub(super) fn check_waiting(&mut self) {
+        if self.now < self.size.troubled + SETTLED || self.now % 1_000 != 0 {
+            return;
+        }
+        let room = |w: &Worker| {
+            let used = |s: &BTreeMap<(TaskId, u64), WTask>| -> f64 {
+                let live = s.iter().filter(|(_, t)| !matches!(t.phase, Phase::Ended(_)));
+                live.map(|((t, _), _)| self.jobs[&t.job].spec.demand.cpus).sum()
+            };
+            let cpus = types().iter().find(|t| t.name == w.kind).map_or(0.0, |t| t.cpus);
+            cpus - used(&w.tasks)
+        };
+        let well = |w: &&Worker| w.alive && w.session > 0 && !w.sick && self.now >= w.hang_until;
+        let rooms: Vec<(&Worker, f64)> =
+            self.workers.values().filter(well).map(|w| (w, room(w))).collect();
+        let live: Vec<(TaskId, &str, f64)> = self
+            .workers
+            .values()
+            .flat_map(|w| w.tasks.iter().map(move |((t, _), s)| (t, s, w.zone)))
+            .filter(|(_, s, _)| !matches!(s.phase, Phase::Ended(_)))
+            .map(|(t, _, zone)| (*t, zone, self.jobs[&t.job].spec.demand.cpus))
+            .collect();
+        let limited = |t: &JobId| self.jobs[t].spec.team == "limited";
+        let used: f64 = live.iter().filter(|(t, ..)| limited(&t.job)).map(|(.., c)| c).sum();
+        let mut passed = BTreeSet::new();
+        for (id, j) in &self.jobs {
+            if !matches!(j.state, State::Open { .. }) || j.mistaken {
+                continue;
+            }
+            let mine: Vec<_> = live.iter().filter(|(t, ..)| t.job == *id).collect();
+            let done = |index| self.completed.contains(&TaskId { job: *id, index });
+            let over = (0..j.spec.tasks).filter(|i| done(*i)).count();
+            if mine.len() + over >= j.spec.tasks as usize {
+                continue;
+            }
+            let cpus = j.spec.demand.cpus;
+            let may = j.spec.team != "limited" || rules::within_limit(used, cpus, self.size.limit);
+            let fits = rooms.iter().any(|(w, free)| {
+                let zones = mine.iter().map(|(_, zone, _)| *zone);
+                *free + 1e-6 >= cpus && rules::may_start(&j.spec, w.kind, w.zone, w.spot, zones)
+            });
+            if may && fits {
+                passed.insert(*id);
+            }
+        }
+        let now = self.now;
+        let mut bad = Vec::new();
+        for (id, j) in &mut self.jobs {
+            if !passed.contains(id) {
+                j.passed_since = None;
+            } else if now > *j.passed_since.get_or_insert(now) + WAITS_MOST {
+                bad.push(format!("{id} while a machine has room"));
+            }
+        }
+        for what in bad {
+            self.violate("waited", what);
+        }
+    }
 }
--- a/crates/latchtrack-core/tests/world/workers.rs
+++ b/crates/latchtrack-core/tests/simulation/world/workers.rs
@@ -59,6 +59,12 @@
                 w.node = (w.node + 1) % self.size.nodes;
                 w.next_report = now + 1_000;
             }
+            if w.flying.is_none() && now >= w.next_report && now < w.mute_until {
+                w.node = (w.node + 1) % self.size.nodes;
+                w.next_report = now + 1_000;
+                self.meets("mute");
+                continue;
+            }
             if w.flying.is_none() && now >= w.next_report {
                 w.seq += 1;
                 self.next_id += 1;
@@ -80,6 +86,9 @@
                     let node = self.rng.random_range(0..self.size.nodes);
                     self.post(delay, Msg::Report { node, worker, report, id: 0, sent: now });
                 }
+                if now < self.copies_kept.1 && self.rng.random_bool(self.copies_kept.0) {
+                    self.kept.push((name.clone(), report.clone()));
+                }
                 if !(cut && self.chance(0.5)) {
                     let msg = Msg::Report { node, worker: name, report, id, sent: now };
                     self.post(delay, msg);
@@ -116,6 +125,7 @@
                     if let Some(w) = self.workers.get_mut(name) {
                         w.done_here.insert(key.0);
                     }
+                    self.cancel_at_end(key.0.job);
                     (Phase::Ended(Cause::Done), u64::MAX)
                 }
                 Phase::Saving => (Phase::Ended(Cause::Stopped), u64::MAX),
@@ -131,6 +141,21 @@
         }
     }
 
+    /// Some users cancel at the very moment at which the last task ends.
+    fn cancel_at_end(&mut self, id: JobId) {
+        let (share, until) = self.cancels_at_end;
+        if self.now >= until || self.now < self.store_down_until {
+            return;
+        }
+        let Some(j) = self.jobs.get(&id) else { return };
+        let done = |index| self.completed.contains(&TaskId { job: id, index });
+        let open = matches!(j.state, State::Open { .. });
+        if open && (0..j.spec.tasks).all(done) && self.rng.random_bool(share) {
+            self.cancel(id);
+            self.meets("cancelled at its end");
+        }
+    }
+
     /// The referee sees a task start.
     pub(super) fn check_start(&mut self, name: &str, task: TaskId) {
         let now = self.now;
