Submissions that lack a field are refused, on every node

The users count jobs that are accepted though they lack a field. cards, one_zone, apart, loaners, snapshot_s and stow_s were taken for 0 or false when they were left out or null; PROTOCOL allows null, and with it leaving out, for builds, yard and due_s only. What such a job needs would be guessed.

--- /dev/null
+++ b/crates/latchtrack/tests/submissions.rs
@@ -0,0 +1,68 @@
+//! What a submission must say, field by field.
+
+use latchtrack::wire::users::BadSubmission::{Invalid, Missing};
+use latchtrack::wire::users::{parse_id, parse_job, BadSubmission};
+use latchtrack_core::job::JobSpec;
+use serde_json::{json, Value};
+
+fn good() -> Value {
+    json!({"name_id":"req-000412","lane":"l","crew":"c","shape":"batch","urgency":"high",
+        "pieces":16,"cores":8.0,"cards":0.0,"memory_gb":64.0,"kit":"i","pull_gb":6.2,
+        "builds":["g8"],"yard":null,"one_zone":true,"apart":false,"loaners":true,
+        "expected_s":240.0,"snapshot_s":30.0,"stow_s":4.0,"due_s":900.0,"unheard":[1]})
+}
+
+fn parse(v: &Value) -> Result<JobSpec, BadSubmission> {
+    let (id, map) = parse_id(v.to_string().as_bytes())?;
+    parse_job(id, &map)
+}
+
+#[test]
+fn reads_a_submission() {
+    let spec = parse(&good()).unwrap();
+    assert_eq!((spec.tasks, spec.demand.cpus, spec.spot), (16, 8.0, true));
+    assert_eq!((spec.zone, spec.deadline_s), (None, Some(900.0)));
+}
+
+#[test]
+fn names_the_field_that_is_wrong() {
+    for (field, value) in [
+        ("name_id", json!("412")),
+        ("pieces", json!(0)),
+        ("pieces", json!(100_001)),
+        ("pieces", json!(1.5)),
+        ("cores", json!(-1.0)),
+        ("cores", json!(0)),
+        ("memory_gb", json!("64")),
+        ("urgency", json!("now")),
+        ("shape", json!("gang")),
+        ("builds", json!([1])),
+        ("loaners", json!(1)),
+        ("due_s", json!(-5)),
+        ("crew", json!("")),
+    ] {
+        let mut v = good();
+        v[field] = value.clone();
+        match parse(&v) {
+            Err(Invalid(name, _)) => assert_eq!(name, field, "{value}"),
+            other => panic!("{field} = {value}: {other:?}"),
+        }
+    }
+    // Null is as good as left out: only where the protocol allows null.
+    let fields: Vec<String> = good().as_object().unwrap().keys().cloned().collect();
+    for field in fields {
+        let mut without = good();
+        without.as_object_mut().unwrap().remove(&field);
+        let mut null = good();
+        null[&field] = Value::Null;
+        for v in [without, null] {
+            match (parse(&v), field.as_str()) {
+                (Ok(_), "builds" | "yard" | "due_s" | "unheard") => {}
+                (Err(Missing(name)), _) => assert_eq!(name, field),
+                (other, _) => panic!("without {field}: {other:?}"),
+            }
+        }
+    }
+    assert_eq!(parse_id(b"[1]").unwrap_err(), BadSubmission::NotObject);
+    assert_eq!(parse_id(b"{\"name_id\":NaN}").unwrap_err(), BadSubmission::NotJson);
+}
