--- /dev/null
+++ b/crates/latchtrack-core/tests/placement.rs
@@ -0,0 +1,62 @@
+//! The scores, what fits, and who steps back.
+
+use latchtrack_core::job::Demand;
+use latchtrack_core::machine::fits;
+use latchtrack_core::placement::*;
+
+/// Worked by hand. Eqs 6 and 7: two machines of 16 CPUs/64 GB and one of 32/64 make 64 CPUs
+/// and 192 GB. Eq. 8 for a machine with 4 CPUs and 16 GB free: 4/64*0.8 + 16/192*0.2
+/// = 0.05 + 0.016666...; Eq. 9 for 5 tasks of 4 CPUs and 12 GB: (0.05 + 0.0125) * 5.
+#[test]
+fn scores_follow_the_papers_equations() {
+    let w = Weights::default();
+    let total = Demand { cpus: 16.0 + 16.0 + 32.0, gpus: 0.0, memory_gb: 64.0 + 64.0 + 64.0 };
+    let free = Demand { cpus: 4.0, gpus: 0.0, memory_gb: 16.0 };
+    assert!((score(&free, &total, &w) - (0.05 + 1.0 / 60.0)).abs() < 1e-12);
+    let task = Demand { cpus: 4.0, gpus: 0.0, memory_gb: 12.0 };
+    assert!((job_demand(&task, 5, &total, &w) - 0.3125).abs() < 1e-12);
+    assert_eq!(score(&free, &Demand::default(), &w), 0.0, "no machine runs");
+}
+
+#[test]
+fn the_largest_steps_back_when_not_all_can_be_in_time() {
+    let job = |left_ms, work| Asked { left_ms, run_ms: 0.0, work };
+    let all = [job(10.0, 40.0), job(20.0, 300.0), job(25.0, 40.0), job(30.0, 40.0)];
+    assert_eq!(set_aside(&all, 0.0, 100.0), [false; 4], "there is room for all");
+    assert_eq!(set_aside(&all, 0.0, 10.0), [false, true, false, false]);
+    assert_eq!(set_aside(&all, 60.0, 10.0), [false, true, false, false]);
+    assert_eq!(set_aside(&all, 0.0, 0.0), [false; 4], "nothing known of the room");
+}
+
+#[test]
+fn fits_is_bounded_by_the_scarcest_part() {
+    let d = Demand { cpus: 4.0, gpus: 0.0, memory_gb: 15.0 };
+    assert_eq!(fits(&d, 16.0, 0.0, 64.0), 4);
+    assert_eq!(fits(&d, 16.0, 0.0, 44.0), 2);
+    assert_eq!(fits(&Demand { gpus: 1.0, ..d }, 16.0, 0.0, 64.0), 0);
+    assert_eq!(fits(&d, -1.0, 0.0, 64.0), 0);
+}
+
+/// A room is open to the jobs it is kept for whole, and to others for what those leave.
+#[test]
+fn a_kept_room_is_open_to_others_for_what_its_holder_leaves() {
+    let amount = |cpus| Demand { cpus, gpus: 0.0, memory_gb: cpus };
+    let mut room = Room {
+        machine: None,
+        kind: "g".into(),
+        zone: "a".into(),
+        spot: true,
+        size: 16.0,
+        images: Default::default(),
+        may_hold: false,
+        free: amount(9.0),
+        ready: true,
+        held: Some(Held { shape: 1, spare: amount(4.0) }),
+    };
+    let task = amount(2.0);
+    assert_eq!((room.open_to(&task, 1), room.open_to(&task, 2)), (4, 2));
+    room.take(&task, 1);
+    assert_eq!((room.open_to(&task, 1), room.open_to(&task, 2)), (3, 1));
+    room.held = None;
+    assert_eq!(room.open_to(&task, 2), 3);
+}
