A job goes back to a machine whose fault has passed

Cause (read in the code): a job kept off each machine on which a task of it had failed, for as long as the leader led. Where machines are faulty for a while, do not go back since other jobs keep them busy, and are all that the job fits, it waited beside their room for ever. Now for 45 s.

Ruled out: the suspicion of jobs and machines counts as before. Test: scenarios, fails with 450 s.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -105,6 +105,9 @@
 pub const FAIL_PAUSE_MS: Millis = 1_000;
 /// ms the pause of a failing job lasts at most.
 pub const FAIL_PAUSE_MOST_MS: Millis = 60_000;
+/// ms for which a job keeps off a machine on which it failed: a fault may pass, and nobody is to wait for
+/// 90 s where there is room.
+pub const FAILED_AVOIDED_MS: Millis = 45_000;
 /// Different machines on which a job fails before the job, not the machines, is suspected.
 pub const JOB_SUSPECT: usize = 3;
 /// ms for which a task must have run, beside twice what the failed ones of its job did, to speak for
--- a/crates/latchtrack-core/src/job.rs
+++ b/crates/latchtrack-core/src/job.rs
@@ -148,8 +148,8 @@
     cursor: u32,
     /// Nothing of it is placed before this time.
     pub pause_until: Millis,
-    /// Machines it failed on, and for how long a failed task had run at most.
-    pub failed_on: BTreeSet<String>,
+    /// Machines it failed on, and when last; for how long a failed task had run at most.
+    pub failed_on: BTreeMap<String, Millis>,
     pub failed_after: Millis,
     /// Shows nothing but failures: one task at a time is tried.
     pub in_doubt: bool,
@@ -184,7 +184,7 @@
             again: BTreeSet::new(),
             cursor: 0,
             pause_until: 0,
-            failed_on: BTreeSet::new(),
+            failed_on: BTreeMap::new(),
             failed_after: 0,
             in_doubt: false,
             tries: 0,
--- a/crates/latchtrack-core/src/leader/doubt.rs
+++ b/crates/latchtrack-core/src/leader/doubt.rs
@@ -13,7 +13,7 @@
     /// A task failed on this machine after it had been seen to run for so long.
     pub(super) fn on_failed(&mut self, now: Millis, machine: &str, id: JobId, ran: Millis) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.failed_on.insert(machine.to_string());
+        job.failed_on.insert(machine.to_string(), now);
         job.failed_after = job.failed_after.max(ran);
         let in_doubt = job.in_doubt;
         let doubtful = job.done.ones() == 0 && job.failed_on.len() >= JOB_SUSPECT;
@@ -57,7 +57,7 @@
             "job {id} fails everywhere ({n} machines): one task at a time from now on"
         )));
         // It was no fault of theirs.
-        for name in &job.failed_on {
+        for name in job.failed_on.keys() {
             let Some(m) = self.machines.get_mut(name) else { continue };
             m.failed_jobs.remove(&id);
             if m.failed_jobs.is_empty() {
@@ -76,7 +76,8 @@
             return;
         }
         self.out.push(Effect::Note(format!("job {id} does not fail everywhere")));
-        for name in job.failed_on.clone() {
+        let names: Vec<String> = job.failed_on.keys().cloned().collect();
+        for name in names {
             self.blame(now, &name, id);
         }
         self.replan = true;
@@ -102,10 +103,12 @@
         }
     }
 
-    /// Whether a job keeps off this machine: it failed there. One in doubt is tried only where others
-    /// have succeeded, unless it has waited long for such a place.
+    /// Whether a job keeps off this machine: it failed there a while ago. Not for ever, as machines that
+    /// were faulty for a time may be all that it fits. One in doubt is tried only where others have
+    /// succeeded, unless it has waited long for such a place.
     pub(super) fn avoids(&self, now: Millis, job: &Job, machine: &str) -> bool {
-        let failed = job.failed_on.contains(machine);
+        let failed =
+            job.failed_on.get(machine).is_some_and(|at| now < at.saturating_add(FAILED_AVOIDED_MS));
         if !job.in_doubt {
             return failed;
         }
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -987,3 +987,39 @@
     assert_eq!(c.jobs()[&JobId(1)].placed.len(), 2, "as many as go into the machine in its zone");
     assert_eq!(c.jobs()[&JobId(2)].placed.len(), 1, "the machine in the other zone is empty");
 }
+
+/// A machine that was faulty for a while is all that a job fits, and another job keeps it from being given
+/// back: the job is tried there again, soon enough for nobody to wait 90 s where there is room.
+#[test]
+fn a_job_goes_back_to_a_machine_whose_fault_has_passed() {
+    let mut c = Cluster::new(patient(), STAMPS, sold_out(), stored(0..1), Vec::new(), 1_000);
+    for (id, tasks) in [(1, 2), (2, 1)] {
+        let spec = spec(id, tasks);
+        c.handle(1_000, Event::Job { spec, submitted_at: 0, stamp: 3, done: None });
+    }
+    let task = |task: &str, phase| TaskReport { task: task.parse().unwrap(), attempt: 5, phase };
+    let long = task("req-000002/0", Phase::Running);
+    let first = task("req-000001/0", Phase::Ended(Cause::Done));
+    c.handle(1_000, Event::Report(report(0, 1, 7, vec![long, first])));
+    let mut failed_at = None;
+    for now in (1_200..120_000).step_by(200) {
+        let mut tasks = vec![long];
+        for run in c.machines()[&name(0)].runs.values().filter(|r| r.task.job == JobId(1)) {
+            // The first try of the other task fails, at once.
+            let fails = run.live() && failed_at.is_none_or(|at| at == now);
+            if fails {
+                failed_at = Some(now);
+                tasks.push(TaskReport { phase: Phase::Ended(Cause::Error), ..seen(run) });
+            } else if run.phase == Phase::Assigned {
+                let at = failed_at.unwrap();
+                assert!((at + 10_000..at + 80_000).contains(&now), "{at}, {now}");
+                return;
+            } else {
+                tasks.push(seen(run));
+            }
+        }
+        c.handle(now, Event::Report(report(0, now, 7, tasks)));
+        c.handle(now, Event::Tick);
+    }
+    panic!("never tried again, failed at {failed_at:?}");
+}
