What an end leaves of a team's limit is given out by the next round, 0.1 s later

Cause: places of jobs whose team has a limit are given out by rounds alone, and the end of a task asked for none, so that the next came up to a second later.

Ruled out: kept machines, slow machines, unsettled ones (none at that time).

Test: scenarios, fails without.

--- a/crates/latchtrack-core/src/leader/order.rs
+++ b/crates/latchtrack-core/src/leader/order.rs
@@ -1,6 +1,5 @@
 //! The queue: in which order jobs are placed.
 
-use super::placing::has_limit;
 use super::*;
 
 /// A job in the queue, with how many of its tasks may be placed in this turn.
@@ -82,7 +81,7 @@
     /// Whether a job may not start anything while a machine is unsettled: an earlier leader may
     /// have launched its tasks, or its team's limit depends on what runs there.
     fn waits_for_settling(&self, job: &Job) -> bool {
-        job.inherited || self.policy.teams.iter().any(|t| t.name == job.spec.team && has_limit(t))
+        job.inherited || self.limited(&job.spec)
     }
 
     /// Whether a job is to take only what would stand idle: of the lowest priority, and nothing says by
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -124,6 +124,11 @@
         (rooms, total)
     }
 
+    /// Whether a limit of its team has a say in when a job's tasks start.
+    pub(super) fn limited(&self, spec: &JobSpec) -> bool {
+        self.policy.teams.iter().any(|t| t.name == spec.team && has_limit(t))
+    }
+
     fn any_limit(&self) -> bool {
         self.policy.teams.iter().any(has_limit)
     }
@@ -185,7 +190,7 @@
             || spec.zoned()
             || !placement::allowed(spec, &room.kind, &room.zone, room.spot)
             || self.avoids(now, job, machine)
-            || self.policy.teams.iter().any(|t| t.name == spec.team && has_limit(t))
+            || self.limited(spec)
             || (!room.may_hold
                 && !room.images.contains(&spec.image)
                 && self.waits_for_image(now, job, &room.kind))
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -168,6 +168,8 @@
                     self.results.put((run.task.job, chunk), size, false);
                 }
                 self.restore(now, run.task.job);
+                // What a team with a limit may use again is given out in rounds alone.
+                self.replan |= run.spec.as_ref().is_some_and(|spec| self.limited(spec));
                 return;
             }
             Cause::Error => {
--- a/crates/latchtrack-core/tests/scenarios.rs
+++ b/crates/latchtrack-core/tests/scenarios.rs
@@ -1023,3 +1023,29 @@
     }
     panic!("never tried again, failed at {failed_at:?}");
 }
+
+/// An own day with a team at its limit: what each end left of the limit waited for the next round, for up
+/// to a second, so that the team stayed below its limit for as long as jobs waited beside room.
+#[test]
+fn what_an_end_leaves_of_a_limit_is_given_out_at_once() {
+    let limit = Team { cpus_max: 4.0, ..patient().teams.remove(0) };
+    let policy = Policy { teams: vec![limit], ..patient() };
+    let mut c = Cluster::new(policy, STAMPS, types(), stored(0..1), Vec::new(), 1_000);
+    c.handle(1_000, Event::Job { spec: spec(1, 2), submitted_at: 0, stamp: 8, done: None });
+    c.handle(1_000, Event::Report(report(0, 1, 7, Vec::new())));
+    for now in (1_200..10_000).step_by(200) {
+        let runs = c.machines()[&name(0)].runs.values();
+        let tasks = runs.map(|r| TaskReport { phase: Phase::Running, ..seen(r) }).collect();
+        c.handle(now, Event::Report(report(0, now, 7, tasks)));
+        c.handle(now, Event::Tick);
+    }
+    let runs = |c: &Cluster| c.machines()[&name(0)].runs.values().filter(|r| r.live()).count();
+    assert_eq!(runs(&c), 1, "four CPUs are all that the team may use");
+    // A round was made just now.
+    c.handle(10_000, Event::Tick);
+    let run = c.machines()[&name(0)].runs.values().next().unwrap();
+    let done = TaskReport { phase: Phase::Ended(Cause::Done), ..seen(run) };
+    c.handle(10_050, Event::Report(report(0, 10_050, 7, vec![done])));
+    c.handle(10_200, Event::Tick);
+    assert_eq!(runs(&c), 1, "the other task has its place");
+}
