--- a/crates/latchtrack-core/tests/simulation/world/users.rs
+++ b/crates/latchtrack-core/tests/simulation/world/users.rs
@@ -66,14 +66,7 @@
                 }
                 Planned::Boots(times, never, ms) => self.boots = (times, never, now + ms),
                 Planned::Mistakes(many) => (0..many).for_each(|_| self.submit_with(1.0)),
-                Planned::Sick(share) => {
-                    for name in self.workers.keys().cloned().collect::<Vec<_>>() {
-                        let sick = self.rng.random_bool(share);
-                        if let Some(w) = self.workers.get_mut(&name) {
-                            w.sick |= sick;
-                        }
-                    }
-                }
+                Planned::Sick(share) => self.some(share, |w| w.sick = true),
                 Planned::Hang(share, ms) => self.some(share, |w| w.hang_until = now + ms),
                 Planned::RefuseLeader(ms) => self.nodes[leader].refused_until = now + ms,
                 Planned::Deaf(share, ms) => self.some(share, |w| w.deaf_until = now + ms),
