Tests: what production stores and sends, byte for byte, is a published format

Literals written by the production version for job records, the leader key, machine sets, results, machine types, every frame and the layout of attempt numbers. The forms say so where they stand.

--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -179,7 +179,8 @@
 pub const CHUNK_TASKS: u32 = 16_384;
 /// Most tasks of a job (the protocol's bound).
 pub const TASKS_MOST: u32 = 100_000;
-/// Bits of an attempt number below the token: 16 million launches in one term.
+/// Bits of an attempt number below the token: 16 million launches in one term. Leaders of other versions
+/// read attempt numbers, so this never changes.
 pub const ATTEMPT_BITS: u32 = 24;
 /// Names of machines that went in this term, kept so that late copies of their reports do not bring
 /// them back: some hours of a fleet that changes every few minutes; about 2 MB.
--- a/crates/latchtrack/src/wire/records.rs
+++ b/crates/latchtrack/src/wire/records.rs
@@ -1,4 +1,8 @@
 //! What we keep in the state service, under our own names.
+//!
+//! Nodes of two versions read and write these values side by side during an upgrade. Keys, field names and
+//! the order of fields without names are a published format (`tests/published_formats.rs`): they never
+//! change, and what is new is an optional field with a default.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/latchtrack/tests/published_formats.rs
@@ -0,0 +1,171 @@
+//! What the version in production stores and sends, byte for byte.
+//!
+//! Nodes of two versions work on each other's data during an upgrade, so these literals are a published
+//! format: they were written by the production version (`production` in `deploy/service.toml`) and must
+//! be read for good, and what is written now must keep to them.
+
+use std::sync::Arc;
+
+use latchtrack::wire::peers::{decode, encode, Answer, Ask, Frame};
+use latchtrack::wire::records::*;
+use latchtrack_core::bitmap::Bitmap;
+use latchtrack_core::constants::{ATTEMPT_BITS, CHUNK_TASKS};
+use latchtrack_core::job::{Demand, JobId, JobSpec, Priority};
+use latchtrack_core::leader::StoredMachine;
+use latchtrack_core::machine::MachineType;
+
+/// A job with every field of its record.
+fn full_spec() -> JobSpec {
+    JobSpec {
+        id: JobId(412),
+        class: "c".into(),
+        team: "t".into(),
+        priority: Priority::High,
+        tasks: 16,
+        demand: Demand { cpus: 4.0, gpus: 1.0, memory_gb: 3.6 },
+        types: Some(vec!["g".into()]),
+        zone: Some("a".into()),
+        one_zone: true,
+        spread: true,
+        spot: true,
+        image: "i".into(),
+        image_gb: 1.5,
+        estimate_s: 20.0,
+        checkpoint_s: 30.0,
+        save_s: 2.0,
+        deadline_s: Some(90.5),
+    }
+}
+
+/// A job with no field that may be left out.
+fn least_spec() -> JobSpec {
+    JobSpec {
+        priority: Priority::Low,
+        demand: Demand { cpus: 4.0, gpus: 0.0, memory_gb: 3.6 },
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        ..full_spec()
+    }
+}
+
+#[test]
+fn job_records_are_read_and_written_as_published() {
+    let open = |spec, at_ms| Record::Open { spec: Arc::new(spec), at_ms };
+    for (record, text) in [
+        (
+            open(full_spec(), 1_700_000_000_123),
+            r#"{"state":"open","at_ms":1700000000123,"class":"c","team":"t","priority":1,"tasks":16,"cpus":4.0,"gpus":1.0,"memory_gb":3.6,"types":["g"],"zone":"a","one_zone":true,"spread":true,"spot":true,"image":"i","image_gb":1.5,"estimate_s":20.0,"checkpoint_s":30.0,"save_s":2.0,"deadline_s":90.5}"#,
+        ),
+        (
+            open(least_spec(), 1),
+            r#"{"state":"open","at_ms":1,"class":"c","team":"t","priority":3,"tasks":16,"cpus":4.0,"memory_gb":3.6,"image":"i","image_gb":1.5,"estimate_s":20.0}"#,
+        ),
+        (Record::Done { tasks: 3 }, r#"{"state":"done","tasks":3}"#),
+        (Record::Cancelled { tasks: 4 }, r#"{"state":"cancelled","tasks":4}"#),
+    ] {
+        assert_eq!(record.to_json().unwrap().get(), text);
+        assert_eq!(Record::parse(JobId(412), text).unwrap(), record);
+    }
+}
+
+#[test]
+fn keys_and_the_leader_record_are_as_published() {
+    assert_eq!(LEADER, "live/leader");
+    assert_eq!(job_key(JobId(412)), "live/job/req-000412");
+    assert_eq!(results_key("41-1"), "results/41-1");
+    assert_eq!(fleet_key("41-1"), "fleet/41-1");
+    assert_eq!(TYPES, "site/types");
+    let record = LeaderRecord { node: "n".into(), run: 7, lease: 9 };
+    let text = r#"{"node":"n","run":7,"lease":9}"#;
+    assert_eq!(serde_json::to_string(&record).unwrap(), text);
+    assert_eq!(serde_json::from_str::<LeaderRecord>(text).unwrap(), record);
+}
+
+#[test]
+fn machine_sets_are_read_and_written_as_published() {
+    let machine = |name: &str| StoredMachine {
+        name: name.into(),
+        kind: "g".into(),
+        zone: "a".into(),
+        spot: true,
+        addr: "1.2.3.4:9".into(),
+    };
+    let machines = [machine("n-1"), machine("n-2")];
+    let text = r#"[["n-1","g","a",true,"1.2.3.4:9"],["n-2","g","a",true,"1.2.3.4:9"]]"#;
+    assert_eq!(fleet(&machines).unwrap().get(), text);
+    assert_eq!(read_fleet("41-1", text).unwrap(), machines);
+}
+
+#[test]
+fn results_are_read_and_written_as_published() {
+    let chunks = vec![(JobId(7), 3, vec![1, 0, 255]), (JobId(9), 0, vec![4])];
+    let text = r#"{"req-000007/3":"AQD/","req-000009/0":"BA"}"#;
+    assert_eq!(results(&chunks).unwrap().get(), text);
+    assert_eq!(read_results("41-1", text), Some(chunks));
+    // Chunk 3 begins at task 49,152, lowest bit first.
+    assert_eq!(CHUNK_TASKS, 16_384);
+    let mut done = Bitmap::new(100_000);
+    done.merge_chunk(3, &[1, 0, 255]);
+    let set: Vec<u32> = (0..100_000).filter(|i| done.get(*i)).collect();
+    let expected: Vec<u32> = std::iter::once(49_152).chain(49_168..49_176).collect();
+    assert_eq!(set, expected);
+}
+
+#[test]
+fn machine_types_are_read_and_written_as_published() {
+    let machine_type = MachineType {
+        name: "g".into(),
+        cpus: 8.0,
+        gpus: 1.0,
+        memory_gb: 32.0,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 10.0,
+        cache_gb: 30.0,
+        fetch_gb_per_s: 0.5,
+        zones: vec!["a".into(), "b".into()],
+    };
+    let text = r#"[{"name":"g","cpus":8.0,"gpus":1.0,"memory_gb":32.0,"price":1.0,"spot_price":0.3,"boot_s":10.0,"cache_gb":30.0,"fetch_gb_per_s":0.5,"zones":["a","b"]}]"#;
+    assert_eq!(types(std::slice::from_ref(&machine_type)).unwrap().get(), text);
+    assert_eq!(read_types(text).unwrap(), [machine_type]);
+}
+
+/// The order of the variants and of their fields is part of the form.
+#[test]
+fn frames_between_nodes_are_read_and_written_as_published() {
+    let ask = |ask| Frame::Ask { id: 300, ask };
+    let answer = |id, status, retry_after, body: &[u8]| Frame::Answer {
+        id,
+        answer: Answer { status, retry_after, body: body.to_vec() },
+    };
+    let progress =
+        Frame::Progress { token: 7, jobs: vec![(412, 2, 300)], overdue: vec!["n-1".into()] };
+    let published: [(Frame, &[u8]); 9] = [
+        (progress, &[0, 7, 1, 251, 156, 1, 2, 251, 44, 1, 1, 3, 110, 45, 49]),
+        (Frame::Health { store: true }, &[1, 1]),
+        (ask(Ask::Submit(b"{}".to_vec())), &[2, 251, 44, 1, 0, 2, 123, 125]),
+        (ask(Ask::Query("r".into())), &[2, 251, 44, 1, 1, 1, 114]),
+        (ask(Ask::Withdraw("r".into())), &[2, 251, 44, 1, 2, 1, 114]),
+        (ask(Ask::Report(b"{}".to_vec())), &[2, 251, 44, 1, 3, 2, 123, 125]),
+        (ask(Ask::Status), &[2, 251, 44, 1, 4]),
+        (answer(300, 503, Some(1), b"x"), &[3, 251, 44, 1, 251, 247, 1, 1, 1, 1, 120]),
+        (answer(1, 200, None, b""), &[3, 1, 200, 0, 0]),
+    ];
+    for (frame, bytes) in published {
+        assert_eq!(encode(&frame).unwrap(), bytes, "{frame:?}");
+        assert_eq!(decode(bytes), Some(frame));
+    }
+}
+
+/// The token of an attempt's leader stands above the number of the launch: a leader of either version
+/// tells its own attempts from those of before.
+#[test]
+fn attempt_numbers_are_as_published() {
+    assert_eq!(ATTEMPT_BITS, 24);
+}
