Lowered limits of the state service, and words of a report that are new

- Values and transactions keep to the smaller of both limits from the start: records, packs, batches.
- What is stored larger stays readable; its next write splits it in the fenced, retiring way that packs have.
Results have a smaller unit (4,096 tasks): the earlier chunk of 16,384 is 2,731 bytes as text, above 2 KiB by itself.
Its index lies beyond every job by the earlier unit, so production ignores it.
- A write refused for its size never loops: smaller batches, then smaller values, then that one value is given up.
- Writes a second: refusals in a row within the node's own share make the lower limit count.
- An unknown state or cause in a report is a typed value; it cost the whole report before, and with it a machine.
- Tests of pacing, packs, results and reports stand in tests/ now, as they were, against the public interface.

--- a/crates/latchtrack-core/src/bitmap.rs
+++ b/crates/latchtrack-core/src/bitmap.rs
@@ -1,6 +1,41 @@
 //! A set of task indexes, one bit each.
 
-use crate::constants::CHUNK_TASKS;
+use crate::constants::*;
+
+/// The stored chunk that holds a task of a job with so many tasks.
+pub fn chunk_of(index: u32, tasks: u32) -> u32 {
+    if tasks <= SMALL_CHUNK_TASKS {
+        return 0;
+    }
+    SMALL_CHUNKS_FROM + index / SMALL_CHUNK_TASKS
+}
+
+/// Every chunk in which results of a job may be stored, by this version or an earlier one.
+pub fn all_chunks() -> impl Iterator<Item = u32> {
+    let small = SMALL_CHUNKS_FROM..SMALL_CHUNKS_FROM + TASKS_MOST.div_ceil(SMALL_CHUNK_TASKS);
+    (0..TASKS_MOST.div_ceil(CHUNK_TASKS)).chain(small)
+}
+
+/// Whether a stored chunk is larger than what is written now.
+pub fn is_large_chunk(bytes: &[u8]) -> bool {
+    bytes.len() > (SMALL_CHUNK_TASKS / 8) as usize
+}
+
+/// The small chunks that hold the same bits as a stored large one, each with its length in bytes.
+pub fn small_chunks(chunk: u32, bytes: &[u8]) -> impl Iterator<Item = (u32, usize)> + '_ {
+    let first = SMALL_CHUNKS_FROM + chunk.saturating_mul(CHUNK_TASKS / SMALL_CHUNK_TASKS);
+    let parts = bytes.chunks((SMALL_CHUNK_TASKS / 8) as usize);
+    (first..).zip(parts.map(<[u8]>::len))
+}
+
+/// The first task of a stored chunk, and how many it covers; None past every job.
+fn chunk_span(chunk: u32) -> Option<(u32, u32)> {
+    let (number, tasks) = match chunk.checked_sub(SMALL_CHUNKS_FROM) {
+        Some(number) => (number, SMALL_CHUNK_TASKS),
+        None => (chunk, CHUNK_TASKS),
+    };
+    Some((number.checked_mul(tasks)?, tasks))
+}
 
 /// Which tasks of a job are in the set.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,16 +78,16 @@
 
     /// The bytes of one stored chunk.
     pub fn chunk(&self, chunk: u32) -> &[u8] {
-        let size = (CHUNK_TASKS / 8) as usize;
-        let from = (chunk as usize * size).min(self.bytes.len());
-        let to = (from + size).min(self.bytes.len());
+        let Some((first, tasks)) = chunk_span(chunk) else { return &[] };
+        let from = ((first / 8) as usize).min(self.bytes.len());
+        let to = (from + (tasks / 8) as usize).min(self.bytes.len());
         &self.bytes[from..to]
     }
 
     /// Adds the tasks of a stored chunk. Bits past the last task are ignored.
     pub fn merge_chunk(&mut self, chunk: u32, bytes: &[u8]) {
-        let Some(from) = chunk.checked_mul(CHUNK_TASKS) else { return };
-        for (at, byte) in bytes.iter().enumerate().take((CHUNK_TASKS / 8) as usize) {
+        let Some((from, tasks)) = chunk_span(chunk) else { return };
+        for (at, byte) in bytes.iter().enumerate().take((tasks / 8) as usize) {
             for bit in 0..8 {
                 if byte & (1 << bit) != 0 {
                     self.set(from.saturating_add(at as u32 * 8 + bit));
@@ -61,26 +96,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn chunks_carry_a_large_job_over() {
-        let mut a = Bitmap::new(CHUNK_TASKS + 10);
-        for i in [0, 7, 8, CHUNK_TASKS - 1, CHUNK_TASKS, CHUNK_TASKS + 9] {
-            assert!(a.set(i));
-            assert!(!a.set(i));
-        }
-        assert!(!a.set(CHUNK_TASKS + 10));
-        let mut b = Bitmap::new(CHUNK_TASKS + 10);
-        b.merge_chunk(0, a.chunk(0));
-        assert_eq!(b.ones(), 4);
-        b.merge_chunk(1, a.chunk(1));
-        assert_eq!(a, b);
-        b.merge_chunk(1, &[0xff; 5000]);
-        b.merge_chunk(u32::MAX, &[0xff; 5000]);
-        assert_eq!(b.ones(), 14, "bits past the end are ignored");
-    }
-}
--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -175,8 +175,14 @@
 pub const ENTRY_BYTES: usize = 24;
 /// Part of a value's bound that is filled.
 pub const VALUE_FILLED: f64 = 0.9;
-/// Tasks in one stored chunk of results: 1 bit each, 2 KiB, which stays under 3 KiB as text.
+/// Tasks in one stored chunk of results: 1 bit each, 2 KiB, which stays under 3 KiB as text. The earlier
+/// unit, still read: as text it is above a limit of 2 KiB by itself.
 pub const CHUNK_TASKS: u32 = 16_384;
+/// Tasks in one small chunk, the unit that is written: 0.7 KiB as text, within the least limit of 1 KiB.
+pub const SMALL_CHUNK_TASKS: u32 = 4_096;
+/// Index of the first small chunk of a job that needs several. By the earlier unit it begins far beyond
+/// the last task of any job, so that versions that know no other ignore it.
+pub const SMALL_CHUNKS_FROM: u32 = 1_000;
 /// Most tasks of a job (the protocol's bound).
 pub const TASKS_MOST: u32 = 100_000;
 /// Bits of an attempt number below the token: 16 million launches in one term. Leaders of other versions
--- a/crates/latchtrack-core/src/leader/messages.rs
+++ b/crates/latchtrack-core/src/leader/messages.rs
@@ -102,6 +102,9 @@
     NotDone,
     /// May have been written, or may be later.
     Unknown,
+    /// Surely not written: the state service does not take a transaction like this, by its size or the
+    /// number of its changes.
+    Refused,
     /// Nothing was written, since these have changed: jobs closed by somebody else, values of
     /// which an earlier write came late.
     Conflict { jobs: Vec<JobId>, fleet: Vec<String>, results: Vec<String> },
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -30,9 +30,9 @@
 use order::Turn;
 use placing::Shapes;
 use reports::stop_runs_of;
-use saving::{results_bytes, stored_of};
+use saving::{load_results, results_bytes, stored_of};
 
-use crate::bitmap::Bitmap;
+use crate::bitmap::{all_chunks, chunk_of, is_large_chunk, small_chunks, Bitmap};
 use crate::constants::*;
 use crate::job::{Demand, Job, JobId, JobSpec, Place, Priority, TaskId};
 use crate::machine::*;
@@ -93,6 +93,8 @@
     /// Values of the machine set that can't be read: until every lease of before this term has run
     /// out, tasks may be on machines that we do not know.
     garbled: Vec<(String, u64)>,
+    /// Most changes of the next batch for the state service.
+    batch_most: usize,
     fleet: Packs<String>,
     results: Packs<(JobId, u32)>,
     shapes: Shapes,
@@ -168,13 +170,7 @@
         }
         let mut kept = Packs::new(token, most, RESULTS_GAP_MS);
         for r in results {
-            kept.load(
-                &r.name,
-                r.stamp,
-                r.chunks
-                    .iter()
-                    .map(|(job, chunk, bytes)| ((*job, *chunk), results_bytes(bytes.len()))),
-            );
+            load_results(&mut kept, &r);
         }
         Cluster {
             policy,
@@ -199,6 +195,7 @@
             finished: BTreeSet::new(),
             boots: Boots::default(),
             garbled,
+            batch_most: usize::MAX,
             fleet,
             results: kept,
             shapes: Shapes::default(),
@@ -258,7 +255,7 @@
                 let cpus = run.spec.as_ref().map_or(0.0, |s| s.demand.cpus);
                 match run.phase {
                     Phase::Assigned => s.cpus_assigned += cpus,
-                    Phase::Fetching => s.cpus_fetching += cpus,
+                    Phase::Fetching | Phase::Unrecognised => s.cpus_fetching += cpus,
                     Phase::Running | Phase::Saving => s.cpus_running += cpus,
                     Phase::Ended(_) => {}
                 }
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -123,6 +123,12 @@
             return;
         }
         run.phase = t.phase;
+        if t.phase == Phase::Unrecognised {
+            self.out.push(Effect::Note(format!(
+                "{} on machine {machine} is in a state that this version does not know",
+                t.task
+            )));
+        }
         if t.phase == Phase::Running {
             run.running_since.get_or_insert(now);
             if let Some(spec) = &run.spec {
@@ -163,7 +169,7 @@
                 if job.done.full() {
                     self.finished.insert(run.task.job);
                 } else if news {
-                    let chunk = run.task.index / CHUNK_TASKS;
+                    let chunk = chunk_of(run.task.index, job.spec.tasks);
                     let size = results_bytes(job.done.chunk(chunk).len());
                     self.results.put((run.task.job, chunk), size, false);
                 }
@@ -180,6 +186,12 @@
                 job.pause_until = job.pause_until.max(now + REFUSED_PAUSE_MS);
             }
             Cause::Stopped => {}
+            Cause::Unrecognised => {
+                let task = run.task;
+                self.out.push(Effect::Note(format!(
+                    "{task} ended on machine {machine} for a cause that this version does not know"
+                )));
+            }
         }
         self.released(machine, run);
     }
@@ -224,7 +236,7 @@
                     // attempt is known to the machine and the late command does nothing.
                     push_stop(run, now, true, &mut commands);
                 }
-                Phase::Fetching | Phase::Running | Phase::Saving => {
+                Phase::Fetching | Phase::Running | Phase::Saving | Phase::Unrecognised => {
                     push_stop(run, now, true, &mut commands);
                 }
                 Phase::Ended(cause) => {
--- a/crates/latchtrack-core/src/leader/saving.rs
+++ b/crates/latchtrack-core/src/leader/saving.rs
@@ -7,6 +7,27 @@
     bits.div_ceil(3) * 4 + ENTRY_BYTES
 }
 
+/// Takes in a stored value of results. One with chunks of the earlier size, which may be above the state
+/// service's limit by themselves, is replaced by others with small ones.
+pub(super) fn load_results(packs: &mut Packs<(JobId, u32)>, stored: &StoredResults) {
+    if !stored.chunks.iter().any(|(_, _, bytes)| is_large_chunk(bytes)) {
+        let entries = stored.chunks.iter();
+        let entries = entries.map(|(job, chunk, b)| ((*job, *chunk), results_bytes(b.len())));
+        packs.load(&stored.name, stored.stamp, entries);
+        return;
+    }
+    let mut entries = Vec::new();
+    for (job, chunk, bytes) in &stored.chunks {
+        if is_large_chunk(bytes) {
+            let small = small_chunks(*chunk, bytes);
+            entries.extend(small.map(|(c, len)| ((*job, c), results_bytes(len))));
+        } else {
+            entries.push(((*job, *chunk), results_bytes(bytes.len())));
+        }
+    }
+    packs.load_to_replace(&stored.name, entries);
+}
+
 /// A machine as it is stored.
 pub(super) fn stored_of(m: &Machine) -> StoredMachine {
     StoredMachine {
@@ -31,6 +52,7 @@
     /// then machines that wait to be used, then results and machines that went.
     pub fn next_writes(&mut self, now: Millis, most: usize) -> Vec<Write> {
         let mut out: Vec<Write> = Vec::new();
+        let most = most.min(self.batch_most);
         while out.len() < most {
             let Some(id) = self.finished.pop_first() else { break };
             if let Some(job) = self.jobs.get(&id).filter(|j| !j.conflict) {
@@ -57,11 +79,22 @@
 
     /// A job is closed: what is stored of its results is of no use any more.
     pub(super) fn forget_results(&mut self, id: JobId) {
-        for chunk in 0..TASKS_MOST.div_ceil(CHUNK_TASKS) {
+        for chunk in all_chunks() {
             self.results.remove(&(id, chunk));
         }
     }
 
+    /// A value was refused by itself: it is stored in smaller ones, or given up.
+    fn split_refused(&mut self, write: &Write) {
+        let (name, given_up) = match write {
+            Write::Fleet { pack, .. } => (&pack.name, self.fleet.refused(pack)),
+            Write::Results { pack, .. } => (&pack.name, self.results.refused(pack)),
+            Write::Done { .. } => return,
+        };
+        let what = if given_up { "given up, it can't be smaller" } else { "split" };
+        self.out.push(Effect::Note(format!("the value {name} was refused and is {what}")));
+    }
+
     pub(super) fn on_saved(&mut self, now: Millis, writes: Vec<Write>, outcome: SaveOutcome) {
         let (mut late_fleet, mut late_results) = (Vec::new(), Vec::new());
         if let SaveOutcome::Conflict { jobs, fleet, results } = &outcome {
@@ -74,6 +107,16 @@
             (late_fleet, late_results) = (fleet.clone(), results.clone());
         }
         let ok = matches!(outcome, SaveOutcome::Ok(_));
+        if outcome == SaveOutcome::Refused {
+            if let [write] = writes.as_slice() {
+                self.split_refused(write);
+            }
+            // Smaller batches show which value it is, or keep to a lower number of changes.
+            self.batch_most = (writes.len() / 2).max(1);
+        } else if ok {
+            self.batch_most = self.batch_most.saturating_mul(2);
+        }
+        let refused_alone = outcome == SaveOutcome::Refused && writes.len() == 1;
         // An earlier write of a value that came late leaves its stamp in doubt, as one without an
         // answer does.
         let wrote = |late: &[String], name: &String| match outcome {
@@ -84,6 +127,7 @@
         };
         for write in writes {
             match write {
+                Write::Fleet { .. } | Write::Results { .. } if refused_alone => {}
                 Write::Fleet { pack, machines } => {
                     self.fleet.wrote(&pack, wrote(&late_fleet, &pack.name));
                     for s in machines.iter().filter(|_| ok) {
--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -52,6 +52,8 @@
     NoRoom,
     Busy,
     Unknown,
+    /// A cause that this version does not know: the run is over, without a result.
+    Unrecognised,
 }
 
 /// What a machine says of a run, or `Assigned` while it has said nothing.
@@ -61,6 +63,8 @@
     Fetching,
     Running,
     Saving,
+    /// A state that this version does not know: the run is on the machine, and takes its room.
+    Unrecognised,
     Ended(Cause),
 }
 
--- a/crates/latchtrack-core/tests/common/mod.rs
+++ b/crates/latchtrack-core/tests/common/mod.rs
@@ -1,4 +1,6 @@
-//! What the small cases share.
+//! What the small cases share; each test file uses its part of it.
+
+#![allow(dead_code)]
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/latchtrack-core/tests/results.rs
@@ -0,0 +1,68 @@
+//! Stored results: bits of done tasks in chunks, of the size written now and of the earlier one.
+
+use latchtrack_core::bitmap::*;
+use latchtrack_core::constants::*;
+
+#[test]
+fn chunks_carry_a_large_job_over() {
+    let mut a = Bitmap::new(CHUNK_TASKS + 10);
+    for i in [0, 7, 8, CHUNK_TASKS - 1, CHUNK_TASKS, CHUNK_TASKS + 9] {
+        assert!(a.set(i));
+        assert!(!a.set(i));
+    }
+    assert!(!a.set(CHUNK_TASKS + 10));
+    let mut b = Bitmap::new(CHUNK_TASKS + 10);
+    b.merge_chunk(0, a.chunk(0));
+    assert_eq!(b.ones(), 4);
+    b.merge_chunk(1, a.chunk(1));
+    assert_eq!(a, b);
+    b.merge_chunk(1, &[0xff; 5000]);
+    b.merge_chunk(u32::MAX, &[0xff; 5000]);
+    assert_eq!(b.ones(), 14, "bits past the end are ignored");
+}
+
+#[test]
+fn small_chunks_carry_every_job_over() {
+    for tasks in [1, SMALL_CHUNK_TASKS, SMALL_CHUNK_TASKS + 1, CHUNK_TASKS + 10, TASKS_MOST] {
+        let mut a = Bitmap::new(tasks);
+        for i in (0..tasks).step_by(97).chain([tasks - 1]) {
+            a.set(i);
+        }
+        let mut chunks: Vec<u32> = (0..tasks).map(|i| chunk_of(i, tasks)).collect();
+        chunks.dedup();
+        let mut b = Bitmap::new(tasks);
+        for chunk in chunks {
+            assert!(!is_large_chunk(a.chunk(chunk)), "{chunk} of {tasks}");
+            assert!(all_chunks().any(|c| c == chunk), "{chunk} of {tasks}");
+            b.merge_chunk(chunk, a.chunk(chunk));
+        }
+        assert_eq!(a, b, "{tasks}");
+    }
+}
+
+/// What an earlier version stored in large chunks is the same in small ones.
+#[test]
+fn a_large_chunk_is_split_into_the_same_bits() {
+    let mut a = Bitmap::new(TASKS_MOST);
+    for i in (0..TASKS_MOST).step_by(31) {
+        a.set(i);
+    }
+    let mut b = Bitmap::new(TASKS_MOST);
+    for chunk in 0..TASKS_MOST.div_ceil(CHUNK_TASKS) {
+        for (small, len) in small_chunks(chunk, a.chunk(chunk)) {
+            assert_eq!(a.chunk(small).len(), len);
+            b.merge_chunk(small, a.chunk(small));
+        }
+    }
+    assert_eq!(a, b);
+}
+
+/// The rule by which the version in production reads a chunk, restated: none of its bits may be set by
+/// a small chunk, nor may it fail on one.
+#[test]
+fn the_production_version_ignores_small_chunks() {
+    for chunk in all_chunks().filter(|chunk| *chunk >= SMALL_CHUNKS_FROM) {
+        let first = chunk.checked_mul(CHUNK_TASKS).expect("no overflow");
+        assert!(first >= TASKS_MOST, "{chunk}");
+    }
+}
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -105,6 +105,7 @@
     client: awc::Client,
     node: String,
     policy: Policy,
+    value_bytes: usize,
     txn_ops: usize,
     ttl_ms: u64,
     types: Vec<MachineType>,
@@ -146,7 +147,8 @@
             client: http_client(settings.policy().calls_open),
             node: settings.platform.node_name.clone(),
             policy: settings.policy(),
-            txn_ops: settings.platform.params.state.txn_ops,
+            value_bytes: settings.platform.params.state.value_bytes(),
+            txn_ops: settings.platform.params.state.txn_ops(),
             ttl_ms: settings.leader_ttl_ms(),
             types: Vec::new(),
             stored_types: Vec::new(),
@@ -293,6 +295,8 @@
         self.saving = true;
         let token = self.token();
         let txn = transaction(token, &writes);
+        let keys =
+            txn.iter().flat_map(|t| &t.changes).map(|c| c.key().to_string()).collect::<Vec<_>>();
         let store = self.store.clone();
         let work = async move {
             let Some(txn) = txn else { return Err(StoreError::NotExecuted("no record")) };
@@ -322,12 +326,19 @@
                     conflict(&keys)
                 }
                 Ok(_) | Err(StoreError::Unknown) => SaveOutcome::Unknown,
+                Err(StoreError::Refused(why)) => {
+                    tracing::error!("the state service refused {}: {why}", keys.join(", "));
+                    SaveOutcome::Refused
+                }
                 Err(e) => {
                     tracing::debug!("a write of the leader failed: {e}");
                     SaveOutcome::NotDone
                 }
             };
-            let failed = matches!(outcome, SaveOutcome::NotDone | SaveOutcome::Unknown);
+            let failed = matches!(
+                outcome,
+                SaveOutcome::NotDone | SaveOutcome::Unknown | SaveOutcome::Refused
+            );
             let again = act.want_save;
             // `Saved` itself asks for the next write if there is one.
             if failed {
@@ -410,6 +421,12 @@
         }
         let types = self.types.clone();
         let Ok(value) = types_record(&types) else { return };
+        if value.get().len() > self.value_bytes {
+            let (size, most) = (value.get().len(), self.value_bytes);
+            tracing::error!("{TYPES} is not stored: {size} bytes, {most} at most");
+            self.stored_types = types;
+            return;
+        }
         let txn = Txn {
             conditions: vec![Condition { key: LEADER.into(), version: self.token() }],
             changes: vec![Change::Put { key: TYPES.into(), value, lease: None }],
--- a/crates/latchtrack/src/actors/mod.rs
+++ b/crates/latchtrack/src/actors/mod.rs
@@ -5,6 +5,7 @@
 pub mod intake;
 pub mod job_cache;
 pub mod leader;
+pub mod pacing;
 pub mod peers;
 pub mod store;
 mod stored;
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -64,6 +64,9 @@
 pub const PORTION_GROWS: f64 = 1.3;
 /// ms after a refusal in which it does not grow: all need what they have.
 pub const PORTION_CALM_MS: u64 = 8_000;
+/// Looks in a row that find a refusal though the node kept to its share, until the limit counts as lowered:
+/// a single one is another node's burst.
+pub const UNEXPLAINED_REFUSALS: u32 = 2;
 /// Part of a second's writes of all nodes that one may make at once after a pause.
 pub const BURST_PART: f64 = 0.5;
 /// ms after which a request that was over a limit is sent again.
--- a/crates/latchtrack/src/settings.rs
+++ b/crates/latchtrack/src/settings.rs
@@ -116,14 +116,60 @@
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
+    /// s a task of a gang waits for the other tasks of its attempt.
+    #[serde(default)]
+    pub gang_wait_s: Option<f64>,
+    /// s within which the tasks of a gang notice that one is gone, or must all be told to stop.
+    #[serde(default)]
+    pub gang_peer_s: Option<f64>,
 }
 
+/// The limits of the state service.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct StateParams {
     pub rps: f64,
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// The limits that it will have from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateParams>,
+}
+
+/// Limits of the state service that are to come; what is left out stays as it is.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct NextStateParams {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+impl StateParams {
+    /// Bytes of a value that the service takes now and later.
+    pub fn value_bytes(&self) -> usize {
+        let next = self.next.as_ref().and_then(|next| next.value_kb);
+        (self.value_kb.min(next.unwrap_or(self.value_kb)) * 1024.0) as usize
+    }
+
+    /// Changes of a transaction that the service takes now and later.
+    pub fn txn_ops(&self) -> usize {
+        let next = self.next.as_ref().and_then(|next| next.txn_ops);
+        self.txn_ops.min(next.unwrap_or(self.txn_ops))
+    }
+
+    /// Changes a second that the service takes once its limits are lowered.
+    pub fn lower_write_rps(&self) -> f64 {
+        let next = self.next.as_ref().and_then(|next| next.write_rps);
+        self.write_rps.min(next.unwrap_or(self.write_rps))
+    }
+
+    /// Requests a second that the service takes once its limits are lowered.
+    pub fn lower_rps(&self) -> f64 {
+        let next = self.next.as_ref().and_then(|next| next.rps);
+        self.rps.min(next.unwrap_or(self.rps))
+    }
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -258,6 +304,24 @@
         above("params.state.write_rps", p.state.write_rps, 1.0)?;
         above("params.state.value_kb", p.state.value_kb, 1.0)?;
         above("params.state.txn_ops", p.state.txn_ops as f64, 1.0)?;
+        let next = p.state.next.clone().unwrap_or_default();
+        for (name, value) in [
+            ("params.state.next.rps", next.rps),
+            ("params.state.next.write_rps", next.write_rps),
+            ("params.state.next.value_kb", next.value_kb),
+            ("params.state.next.txn_ops", next.txn_ops.map(|n| n as f64)),
+        ] {
+            above(name, value.unwrap_or(1.0), 1.0)?;
+        }
+        for (name, value) in [
+            ("params.workers.gang_wait_s", p.workers.gang_wait_s),
+            ("params.workers.gang_peer_s", p.workers.gang_peer_s),
+        ] {
+            above(name, value.unwrap_or(1.0), 0.1)?;
+            if value.is_some_and(|s| s > 86_400.0) {
+                return bad(name, "must be at most a day");
+            }
+        }
         above("params.cloud.rps", p.cloud.rps, 0.1)?;
         above("params.cloud.list_lag_s", p.cloud.list_lag_s, 0.0)?;
         above("params.machine_limits.mem_mb", p.limits.mem_mb, 16.0)?;
@@ -316,7 +380,7 @@
             lease_ms: ms(self.platform.params.workers.lease_s),
             list_lag_ms: ms(self.platform.params.cloud.list_lag_s),
             calls_open: self.calls_open(),
-            value_bytes: (self.platform.params.state.value_kb * 1024.0) as usize,
+            value_bytes: self.platform.params.state.value_bytes(),
             prompt: self.prompt(),
             aimed: self.platform.params.objectives.iter().map(|o| o.class.clone()).collect(),
             aims: self.platform.params.objectives.iter().filter_map(Objective::aim).collect(),
--- a/crates/latchtrack/src/wire/store.rs
+++ b/crates/latchtrack/src/wire/store.rs
@@ -30,6 +30,15 @@
     },
 }
 
+impl Change {
+    /// The key that it changes.
+    pub fn key(&self) -> &str {
+        match self {
+            Change::Put { key, .. } | Change::Delete { key } => key,
+        }
+    }
+}
+
 #[derive(Serialize, Clone, Debug)]
 pub struct Txn {
     #[serde(rename = "if")]
--- /dev/null
+++ b/crates/latchtrack/tests/reports.rs
@@ -0,0 +1,43 @@
+//! What a worker's report must say, and what is made of words that are new.
+
+use latchtrack::wire::workers::parse_report;
+use latchtrack_core::machine::{Cause, Phase};
+
+const GOOD: &str = r#"{"host":"n-1","addr":"1.2.3.4:9","build":"g","yard":"a","loaners":true,
+    "shift":1,"tally":88,"baton":41,"recall_s":null,"extra":{},
+    "pieces":[{"piece":"req-000412/3","try":2,"status":"ended","cause":"done"},
+              {"piece":"req-000412/4","try":2,"status":"running"}]}"#;
+
+#[test]
+fn reads_a_report_and_refuses_nonsense() {
+    let r = parse_report(GOOD.as_bytes()).unwrap();
+    assert_eq!((r.session, r.seq, r.token, r.tasks.len()), (1, 88, 41, 2));
+    assert_eq!(r.tasks[0].phase, Phase::Ended(Cause::Done));
+    for (from, to) in [
+        ("\"shift\":1", "\"shift\":-1"),
+        ("\"shift\":1", "\"shift\":0"),
+        ("req-000412/3", "req-000412"),
+        ("\"status\":\"ended\"", "\"status\":7"),
+        ("\"status\":\"ended\",", ""),
+        ("\"host\":\"n-1\",", ""),
+    ] {
+        let text = GOOD.replace(from, to);
+        assert_ne!(text, GOOD);
+        assert!(parse_report(text.as_bytes()).is_err(), "{from} -> {to}");
+    }
+}
+
+/// A word that a later protocol adds says that the run is on the machine, or that it is over without a
+/// result; the rest of the report counts as ever.
+#[test]
+fn unknown_words_cost_neither_the_report_nor_a_result() {
+    for (from, to, phase) in [
+        ("\"ended\"", "\"frozen\"", Phase::Unrecognised),
+        ("\"cause\":\"done\"", "\"cause\":\"moved\"", Phase::Ended(Cause::Unrecognised)),
+        (",\"cause\":\"done\"", "", Phase::Ended(Cause::Unrecognised)),
+    ] {
+        let r = parse_report(GOOD.replace(from, to).as_bytes()).unwrap();
+        assert_eq!(r.tasks[0].phase, phase, "{from} -> {to}");
+        assert_eq!((r.tasks[1].phase, r.tasks.len()), (Phase::Running, 2));
+    }
+}
