--- a/crates/latchtrack-core/src/bitmap.rs
+++ b/crates/latchtrack-core/src/bitmap.rs
@@ -76,6 +76,13 @@
         true
     }
 
+    /// Puts every task in.
+    pub fn fill(&mut self) {
+        for i in 0..self.len {
+            self.set(i);
+        }
+    }
+
     /// The bytes of one stored chunk.
     pub fn chunk(&self, chunk: u32) -> &[u8] {
         let Some((first, tasks)) = chunk_span(chunk) else { return &[] };
--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -101,6 +101,16 @@
 pub const BOOT_TRIAL_MS: Millis = 20_000;
 /// ms a task that was refused or stopped waits before it is placed again.
 pub const REFUSED_PAUSE_MS: Millis = 1_000;
+/// ms a gang whose tasks were not complete in time waits before its next attempt: the images are there now.
+pub const ALONE_PAUSE_MS: Millis = 1_000;
+/// ms for which a task of an ended attempt may go on fetching its image: the next attempt needs it there,
+/// and a fetch that is given up begins anew. Bounded, since the gang waits meanwhile.
+pub const FETCH_KEPT_MS: Millis = 30_000;
+/// ms a gang finds no room, or not enough under its team's limit, before what is missing is kept for it
+/// alone: its room never comes free by itself while others take it task by task.
+pub const GANG_BEGIN_MS: Millis = 30_000;
+/// s added to what a task needs to save when a whole gang is told to stop: the way of the commands.
+pub const STOP_GRACE_S: f64 = 1.0;
 /// ms the first pause of a failing job lasts; doubles with each further machine.
 pub const FAIL_PAUSE_MS: Millis = 1_000;
 /// ms the pause of a failing job lasts at most.
--- a/crates/latchtrack-core/src/job.rs
+++ b/crates/latchtrack-core/src/job.rs
@@ -95,6 +95,8 @@
     pub team: String,
     pub priority: Priority,
     pub tasks: u32,
+    /// All tasks run at the same time or none does; otherwise they are independent of each other.
+    pub gang: bool,
     pub demand: Demand,
     pub types: Option<Vec<String>>,
     pub zone: Option<String>,
@@ -159,6 +161,8 @@
     pub passed_since: Option<Millis>,
     /// Run times of its done tasks: their sum in ms and their count.
     pub ran: (Millis, u32),
+    /// Since when the tasks of a gang's last attempt are being ended; None: no task has left it.
+    pub attempt_ended_at: Option<Millis>,
 }
 
 impl Job {
@@ -190,6 +194,7 @@
             tries: 0,
             passed_since: None,
             ran: (0, 0),
+            attempt_ended_at: None,
         }
     }
 
@@ -258,11 +263,22 @@
         n >= SLOW_LIKE && ran as f64 * f64::from(n) > SLOW_FACTOR * sum as f64
     }
 
-    /// How many of its tasks may be placed now: of a job in doubt one at a time.
+    /// How many of its tasks may be placed now: of a gang all of them, once no task of its last attempt is
+    /// on a machine; of a job in doubt one at a time.
     pub fn wanted(&self) -> u32 {
-        match self.in_doubt {
-            true => u32::from(self.left > 0 && self.placed.is_empty()),
-            false => self.left,
+        let none_placed = self.placed.is_empty();
+        match (self.spec.gang, self.in_doubt) {
+            (true, _) if none_placed => self.left,
+            (false, true) if none_placed => self.left.min(1),
+            (false, false) => self.left,
+            _ => 0,
         }
     }
+
+    /// Whether every task has its place in one and the same attempt, as a gang's must.
+    pub fn is_whole(&self) -> bool {
+        let mut attempts = self.placed.values().map(|place| place.attempt);
+        let first = attempts.next();
+        self.placed.len() == self.spec.tasks as usize && attempts.all(|a| Some(a) == first)
+    }
 }
--- a/crates/latchtrack-core/src/leader/doubt.rs
+++ b/crates/latchtrack-core/src/leader/doubt.rs
@@ -44,7 +44,7 @@
         });
         job.done.ones() > 0
             || runs
-                .filter(|run| run.phase == Phase::Running)
+                .filter(|run| run.phase == Phase::Running && run.stop.is_none())
                 .any(|run| run.running_since.is_some_and(|at| now >= at.saturating_add(least)))
     }
 
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -54,7 +54,7 @@
                     Offer { kind: m.kind.to_string(), zone: m.zone.to_string(), spot: m.spot };
                 self.exhausted.remove(&offer);
                 for run in m.runs.values().filter(|r| r.live()) {
-                    self.released(&name, run);
+                    self.released(now, &name, run);
                 }
                 self.fleet.remove(&name);
                 self.wake.remove(&name);
@@ -145,7 +145,8 @@
         self.last_tick = now;
         self.watch_list(now);
         self.watch_silence(now);
-        self.watch_notices();
+        self.watch_notices(now);
+        self.watch_gangs(now);
         self.watch_boots(now);
         self.watch_idle(now);
         self.watch_deaf(now);
@@ -272,7 +273,7 @@
             let n = runs.len();
             self.out.push(Effect::Note(format!("machine {name}: the lease of {n} runs is over")));
             for run in runs.values() {
-                self.released(&name, run);
+                self.released(now, &name, run);
             }
         }
     }
@@ -312,16 +313,24 @@
     }
 
     /// A machine that is to be taken: tasks that can save do so now, the others finish if they can.
-    pub(super) fn watch_notices(&mut self) {
+    pub(super) fn watch_notices(&mut self, now: Millis) {
+        let mut gangs = BTreeSet::new();
         for m in self.machines.values_mut().filter(|m| m.notice_at.is_some()) {
             for run in m.runs.values_mut().filter(|r| r.phase == Phase::Running) {
                 let Some(spec) = &run.spec else { continue };
                 if spec.checkpoint_s > 0.0 && run.stop.is_none() {
-                    run.stop = Some(Stop { grace_s: spec.save_s + 1.0, sent_at: None });
+                    if spec.gang {
+                        gangs.insert(spec.id);
+                        continue;
+                    }
+                    run.stop = Some(Stop { grace_s: spec.save_s + STOP_GRACE_S, sent_at: None });
                     self.wake.insert(m.name.to_string());
                 }
             }
         }
+        for id in gangs {
+            self.stop_gang(now, id);
+        }
     }
 
     pub(super) fn watch_idle(&mut self, now: Millis) {
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -11,6 +11,8 @@
 mod boots;
 mod doubt;
 mod fleet;
+mod gang;
+mod holding;
 mod messages;
 mod order;
 mod placing;
@@ -22,6 +24,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
+pub use gang::AttemptState;
 pub use messages::*;
 pub use policy::*;
 
@@ -102,6 +105,8 @@
     queue: Vec<Turn>,
     /// Jobs that are to begin before that order, and machines kept free for them.
     begin: Vec<JobId>,
+    /// Gangs for which the last round found room for some tasks only: what comes free is kept for them.
+    gathering: HashSet<JobId>,
     kept: HashSet<Arc<str>>,
     /// Images that some machine holds, looked up once a second.
     held_images: HashSet<String>,
@@ -201,6 +206,7 @@
             shapes: Shapes::default(),
             queue: Vec::new(),
             begin: Vec::new(),
+            gathering: HashSet::new(),
             kept: HashSet::new(),
             held_images: HashSet::new(),
             images_at: None,
@@ -230,9 +236,17 @@
                 *running.entry(run.task.job).or_default() += 1;
             }
         }
-        self.jobs
-            .iter()
-            .map(move |(id, job)| (*id, job.done.ones(), running.get(id).copied().unwrap_or(0)))
+        self.jobs.iter().map(move |(id, job)| {
+            let running = running.get(id).copied().unwrap_or(0);
+            // A gang has started when all its tasks run.
+            let started = !job.spec.gang || running == job.spec.tasks;
+            (*id, job.done.ones(), if started { running } else { 0 })
+        })
+    }
+
+    /// Whether all that may be on machines is known: no earlier leader's command can still arrive.
+    fn all_settled(&self) -> bool {
+        self.garbled.is_empty() && !self.machines.values().any(Machine::unsettled)
     }
 
     /// What the cluster looks like, for the log.
@@ -255,7 +269,9 @@
                 let cpus = run.spec.as_ref().map_or(0.0, |s| s.demand.cpus);
                 match run.phase {
                     Phase::Assigned => s.cpus_assigned += cpus,
-                    Phase::Fetching | Phase::Unrecognised => s.cpus_fetching += cpus,
+                    Phase::Fetching | Phase::Waiting | Phase::Unrecognised => {
+                        s.cpus_fetching += cpus;
+                    }
                     Phase::Running | Phase::Saving => s.cpus_running += cpus,
                     Phase::Ended(_) => {}
                 }
@@ -351,7 +367,11 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let done = done.unwrap_or_else(|| Bitmap::new(spec.tasks));
+        let mut done = done.unwrap_or_else(|| Bitmap::new(spec.tasks));
+        if spec.gang && done.ones() > 0 {
+            // They complete together: if one is done, all are.
+            done.fill();
+        }
         let finished = done.full();
         // The record's stamp is that of its creation while the job is open.
         let inherited = stamp < self.vacant;
--- a/crates/latchtrack-core/src/leader/order.rs
+++ b/crates/latchtrack-core/src/leader/order.rs
@@ -118,6 +118,10 @@
     /// can still be met; then the others; then those that can't all be in time, with those that have
     /// missed theirs already; last what is of the lowest priority and has no aim at all.
     fn due(&self, now: Millis, job: &Job) -> (Tier, Millis) {
+        if let Some(within) = self.prompt_ms(&job.spec).filter(|_| job.spec.gang) {
+            // Its start is what is due, and for that it needs its room at once.
+            return (Tier::Deadline, job.submitted_at.saturating_add(within));
+        }
         let own = job.spec.deadline_s.map(|d| (d * 1000.0) as Millis);
         let aims = self.policy.aims.iter().filter(|a| a.class == job.spec.class);
         let mut dues: Vec<Millis> = aims
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -10,6 +10,7 @@
     types: Option<Vec<String>>,
     zone: Option<String>,
     spot: bool,
+    gang: bool,
 }
 
 /// The shapes that this term has seen, by number.
@@ -24,6 +25,7 @@
             types: spec.types.clone(),
             zone: spec.zone.clone(),
             spot: spec.spot,
+            gang: spec.gang,
         };
         let next = self.0.len();
         *self.0.entry(shape).or_insert(next)
@@ -31,7 +33,7 @@
 }
 
 /// Instead of a shape: held for a job that is to begin, and for no other.
-const KEPT: usize = usize::MAX;
+pub(super) const KEPT: usize = usize::MAX;
 
 /// What one round found of a shape.
 #[derive(Clone, Copy, Default)]
@@ -176,7 +178,7 @@
     }
 
     /// How many of its tasks a job may put into this room, by size and by whom it is kept for.
-    fn open_here(&self, now: Millis, job: &Job, room: &Room) -> u32 {
+    pub(super) fn open_here(&self, now: Millis, job: &Job, room: &Room) -> u32 {
         match &room.held {
             Some(h) if h.shape != KEPT && self.impatient(now, job) => room.holds(&job.spec.demand),
             _ => room.open_to(&job.spec.demand, job.shape),
@@ -186,8 +188,10 @@
     /// How many tasks of a job may go into this room, if that depends on nothing else.
     fn fits_here(&self, now: Millis, job: &Job, machine: &str, room: &Room) -> u32 {
         let spec = &job.spec;
+        // A gang goes whole onto this machine or not at all, and so in one zone.
+        let zones_matter = spec.spread || (spec.one_zone && !spec.gang);
         if job.pause_until > now
-            || spec.zoned()
+            || zones_matter
             || !placement::allowed(spec, &room.kind, &room.zone, room.spot)
             || self.avoids(now, job, machine)
             || self.limited(spec)
@@ -213,19 +217,20 @@
         let (used, unknown_runs) = self.used_by_teams();
         let shapes = vec![Found::default(); self.shapes.0.len()];
         let mut round = Round { rooms, total, shapes, used, unknown_runs };
-        let unsettled = !self.garbled.is_empty() || self.machines.values().any(Machine::unsettled);
+        let unsettled = !self.all_settled();
+        self.gathering.clear();
         let mut order = self.order(now, &round.total, unsettled);
         for turn in &order {
             let Some(job) = self.jobs.get(&turn.job) else { continue };
             if !job.in_doubt {
-                round.shapes[job.shape].to_come += job.waiting().min(turn.most);
+                round.shapes[job.shape].to_come += job.wanted().min(turn.most);
             }
         }
         // The oldest first.
         let mut begin: Vec<(Millis, JobId)> = order
             .iter()
             .filter_map(|t| Some((self.jobs.get(&t.job)?.submitted_at, t.job)))
-            .filter(|(at, id)| now >= at.saturating_add(BEGIN_MS) && self.jobs[id].untouched())
+            .filter(|(_, id)| self.is_to_begin(now, &self.jobs[id]))
             .collect();
         begin.sort();
         self.begin = begin.into_iter().map(|(_, id)| id).collect();
@@ -241,6 +246,8 @@
             let since = self.jobs[&id].submitted_at.saturating_add(BEGIN_MS + BEGIN_KEEP_MS);
             if most < slice {
                 self.count_use(&spec, slice, &mut round);
+            } else if spec.gang {
+                self.hold_for_gang(now, &spec, KEPT, true, &mut round);
             } else if now >= since {
                 self.hold(now, &spec, KEPT, 1, &mut round);
             }
@@ -258,8 +265,19 @@
     }
 
     /// Tasks of a job that start together.
-    fn slice_of(&self, spec: &JobSpec) -> u32 {
-        self.policy.slice.max(1).min(spec.tasks)
+    pub(super) fn slice_of(&self, spec: &JobSpec) -> u32 {
+        match spec.gang {
+            true => spec.tasks,
+            false => self.policy.slice.max(1).min(spec.tasks),
+        }
+    }
+
+    /// Whether a job goes before all others, since nothing of it has begun for long.
+    fn is_to_begin(&self, now: Millis, job: &Job) -> bool {
+        if job.spec.gang {
+            return job.passed_since.is_some_and(|since| now >= since + GANG_BEGIN_MS);
+        }
+        now >= job.submitted_at.saturating_add(BEGIN_MS) && job.untouched()
     }
 
     /// Fills what a machine's own report has freed, by the order of the last round: as that round
@@ -276,7 +294,10 @@
             return;
         }
         for id in std::mem::take(&mut self.begin) {
-            let Some(job) = self.jobs.get(&id).filter(|j| j.untouched()) else { continue };
+            let Some(job) = self.jobs.get(&id).filter(|j| j.wanted() > 0) else { continue };
+            if !job.spec.gang && !job.untouched() {
+                continue;
+            }
             let (spec, slice) = (job.spec.clone(), self.slice_of(&job.spec));
             if self.fits_here(now, job, machine, &room) < slice {
                 self.begin.push(id);
@@ -290,9 +311,10 @@
         }
         let mut empty = 0;
         while room.free.cpus > 0.0 {
-            let (next, gone) = self.next_here(now, machine, &room);
-            empty = gone;
-            let Some((i, n)) = next else { break };
+            let next = self.next_here(now, machine, &room);
+            empty = next.empty;
+            self.replan |= next.is_gathered;
+            let Some((i, n)) = next.turn else { break };
             let turn = &mut self.queue[i];
             turn.most -= n;
             let id = turn.job;
@@ -314,7 +336,7 @@
     /// The turn of the queue that takes this room next, with how many tasks: the first that fits, or
     /// one of the next few whose image the machine holds, unless that passes a job that is to start
     /// promptly. Also how many of the queue had nothing left.
-    fn next_here(&self, now: Millis, machine: &str, room: &Room) -> (Option<(usize, u32)>, usize) {
+    fn next_here(&self, now: Millis, machine: &str, room: &Room) -> NextHere {
         let mut empty = 0;
         let mut first = None;
         let mut looked = 0;
@@ -336,10 +358,14 @@
             let want = job.wanted().min(turn.most);
             let n = if fits < want { fits / slice * slice } else { want };
             if n == 0 {
+                if self.gathering.contains(&turn.job) && self.is_of_use(now, job, machine, room) {
+                    // The next round keeps it for that gang.
+                    return NextHere { turn: first, empty, is_gathered: true };
+                }
                 continue;
             }
             if room.images.contains(&job.spec.image) {
-                return (Some((i, n)), empty);
+                return NextHere { turn: Some((i, n)), empty, is_gathered: false };
             }
             first.get_or_insert((i, n));
             looked += 1;
@@ -347,11 +373,18 @@
                 break;
             }
         }
-        (first, empty)
+        NextHere { turn: first, empty, is_gathered: false }
+    }
+
+    /// Whether a task of a gang that lacks room could be on this machine.
+    fn is_of_use(&self, now: Millis, job: &Job, machine: &str, room: &Room) -> bool {
+        placement::allowed(&job.spec, &room.kind, &room.zone, room.spot)
+            && !self.avoids(now, job, machine)
+            && room.open_to(&job.spec.demand, job.shape) > 0
     }
 
     /// Within how many ms the tasks of this job's class are to start, if that is an aim.
-    fn prompt_ms(&self, spec: &JobSpec) -> Option<Millis> {
+    pub(super) fn prompt_ms(&self, spec: &JobSpec) -> Option<Millis> {
         self.policy.prompt.iter().find(|(class, _)| *class == spec.class).map(|(_, ms)| *ms)
     }
 
@@ -379,6 +412,13 @@
             round.shapes[shape].to_come = round.shapes[shape].to_come.saturating_sub(all);
         }
         let waiting = all.min(self.limit_left(&spec, round));
+        if spec.gang && waiting < all {
+            // Whole or not at all: it waits for its team's limit.
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.passed_since.get_or_insert(now);
+            }
+            return;
+        }
         if waiting == 0 {
             return;
         }
@@ -403,8 +443,9 @@
             // It passed over room, which others of its shape may take; a second is soon over.
             return;
         }
-        // What a job finds that is bound by where its other tasks are says nothing of its like.
-        let zoned = spec.zoned();
+        // What a job finds that is bound by where its other tasks are says nothing of its like, nor does
+        // that a gang does not fit whole.
+        let says_nothing = spec.zoned() || spec.gang;
         let live = self.live_zones(job).into_iter().next();
         let bound = live.is_some();
         let only = match spec.one_zone {
@@ -416,7 +457,11 @@
             }),
             false => None,
         };
-        if !zoned && job.failed_on.is_empty() {
+        if spec.gang && (self.prompt_ms(&spec).is_some() || passed >= self.policy.pass_over_ms) {
+            self.hold_for_gang(now, &spec, shape, false, round);
+        }
+        let job = &self.jobs[&id];
+        if !says_nothing && job.failed_on.is_empty() {
             round.shapes[shape].no_ready = true;
             round.shapes[shape].no_held |= impatient;
         }
@@ -438,7 +483,7 @@
             }
             round.shapes[shape].no_offer |= only.is_none();
         }
-        if passed >= self.policy.pass_over_ms && !round.shapes[shape].held {
+        if !spec.gang && passed >= self.policy.pass_over_ms && !round.shapes[shape].held {
             // Once for all of the shape that wait.
             round.shapes[shape].held = true;
             let alike = round.shapes[shape].to_come;
@@ -447,7 +492,7 @@
     }
 
     /// The rooms in which a job may start tasks, with their places in the round.
-    fn open_to<'a>(
+    pub(super) fn open_to<'a>(
         &'a self,
         now: Millis,
         job: &'a Job,
@@ -502,7 +547,7 @@
             }
         }
         let found = want - left;
-        let slice = self.policy.slice.max(1);
+        let slice = self.slice_of(spec);
         let mut n = if left == 0 { found } else { found / slice * slice };
         let placed = n;
         for (i, most) in counts {
@@ -521,7 +566,7 @@
     }
 
     /// The zones of a job's live tasks, one entry a task, if they have a say in where others may start.
-    fn live_zones(&self, job: &Job) -> Vec<Arc<str>> {
+    pub(super) fn live_zones(&self, job: &Job) -> Vec<Arc<str>> {
         if !job.spec.zoned() {
             return Vec::new();
         }
@@ -569,13 +614,19 @@
     fn assign(&mut self, now: Millis, id: JobId, spec: &Arc<JobSpec>, machine: &str, n: u32) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(m) = self.machines.get_mut(machine) else { return };
+        // All tasks of a gang are in one attempt.
+        let mut gang_attempt = job.placed.values().next().map(|p| p.attempt).filter(|_| spec.gang);
+        job.attempt_ended_at = None;
         let age = now.saturating_sub(job.submitted_at);
         if age > BEGIN_MS && job.untouched() {
             self.out.push(Effect::Note(format!("job {id} begins after {age} ms")));
         }
         for index in job.take(n) {
-            self.next_attempt += 1;
-            let attempt = (self.token << ATTEMPT_BITS) | self.next_attempt;
+            let attempt = gang_attempt.unwrap_or_else(|| {
+                self.next_attempt += 1;
+                (self.token << ATTEMPT_BITS) | self.next_attempt
+            });
+            gang_attempt = spec.gang.then_some(attempt);
             let task = TaskId { job: id, index };
             job.place(index, Place { machine: m.name.clone(), attempt });
             m.runs.insert(
@@ -596,64 +647,24 @@
         m.empty_since = None;
         self.wake.insert(machine.to_string());
     }
-
-    /// Keeps the roomiest machines for a job that was passed over too long: those where a slice of its
-    /// tasks may start once they have more room. One that has it already was open to the job and not
-    /// taken, since a say of the zones is in the way; kept, it would stand idle.
-    fn hold(&self, now: Millis, spec: &JobSpec, shape: usize, left: u32, round: &mut Round) {
-        let Some(job) = self.jobs.get(&spec.id) else { return };
-        let slice = self.slice_of(spec);
-        let live = self.live_zones(job);
-        let zones = || live.iter().map(|z| &**z);
-        let mut could: Vec<(usize, u32)> = self
-            .open_to(now, job, &round.rooms)
-            .filter(|(_, r)| r.held.is_none() && r.holds(&spec.demand) < slice)
-            .filter(|(_, r)| rules::may_start(spec, &r.kind, &r.zone, r.spot, zones()))
-            .filter_map(|(i, r)| {
-                let per = self.type_of(&r.kind)?.holds(&spec.demand);
-                (per > 0).then_some((i, per))
-            })
-            .collect();
-        could.sort_by(|a, b| {
-            let free = |i: usize| round.rooms[i].free.cpus;
-            free(b.0).partial_cmp(&free(a.0)).unwrap_or(std::cmp::Ordering::Equal)
-        });
-        let mut left = left;
-        for (i, per) in could {
-            if left == 0 {
-                break;
-            }
-            let spare = self.spare_beside(spec, per, &round.rooms[i]);
-            round.rooms[i].held = Some(Held { shape, spare });
-            left = left.saturating_sub(per);
-        }
-    }
 }
 
-impl Cluster {
-    /// What a machine has for others beside as many tasks of a job as it takes at most: room that these
-    /// can't use, which would stand idle. Part of it is in use by tasks that are small enough for it;
-    /// larger ones must end in any case before a task of the job starts there.
-    fn spare_beside(&self, spec: &JobSpec, per: u32, room: &Room) -> Demand {
-        let Some(t) = self.type_of(&room.kind) else { return Demand::default() };
-        let mut spare = Demand { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb };
-        spare.take(&spec.demand, per);
-        let base = spare;
-        let name = room.machine.as_deref().unwrap_or_default();
-        let runs = self.machines.get(name).into_iter().flat_map(|m| m.runs.values());
-        let specs = runs.filter(|r| r.live()).filter_map(|r| r.spec.as_ref());
-        for other in specs.filter(|s| s.demand != spec.demand) {
-            let d = &other.demand;
-            if fits(d, base.cpus, base.gpus, base.memory_gb) > 0 {
-                spare.take(d, 1);
-            }
-        }
-        spare
-    }
+/// Which turn of the queue takes a room next.
+struct NextHere {
+    /// Its place in the queue, and with how many tasks.
+    turn: Option<(usize, u32)>,
+    /// How many turns of the queue had nothing left.
+    empty: usize,
+    /// A gang that lacks room comes before the rest of the queue.
+    is_gathered: bool,
 }
 
 /// The zone in which most tasks of a job fit.
-fn roomiest(rooms: impl Iterator<Item = usize>, spec: &JobSpec, round: &Round) -> Option<Arc<str>> {
+pub(super) fn roomiest(
+    rooms: impl Iterator<Item = usize>,
+    spec: &JobSpec,
+    round: &Round,
+) -> Option<Arc<str>> {
     let mut by_zone: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
     for r in rooms.map(|i| &round.rooms[i]) {
         *by_zone.entry(&r.zone).or_default() += u64::from(r.holds(&spec.demand));
--- a/crates/latchtrack-core/src/leader/reports.rs
+++ b/crates/latchtrack-core/src/leader/reports.rs
@@ -83,7 +83,7 @@
                 runs.len()
             )));
             for run in runs.into_values() {
-                self.released(&r.machine, &run);
+                self.released(now, &r.machine, &run);
             }
             self.replan = true;
         }
@@ -98,7 +98,7 @@
         for key in vanished {
             if let Some(run) = self.machines.get_mut(&r.machine).and_then(|m| m.runs.remove(&key)) {
                 if run.live() {
-                    self.released(&r.machine, &run);
+                    self.released(now, &r.machine, &run);
                 }
             }
         }
@@ -152,6 +152,13 @@
                 m.failed_jobs.clear();
                 m.probation_until = 0;
                 m.proved = true;
+                if job.spec.gang {
+                    // Its pace is that of its slowest machine, whichever that is.
+                    self.complete_gang(run.task.job, run.attempt);
+                    self.restore(now, run.task.job);
+                    self.replan |= run.spec.as_ref().is_some_and(|spec| self.limited(spec));
+                    return;
+                }
                 // Only runs seen from their start: one that an earlier leader launched has run for
                 // longer than we know, and would make all its like look slow.
                 let ours = run.attempt >> ATTEMPT_BITS == self.token;
@@ -178,6 +185,8 @@
                 self.replan |= run.spec.as_ref().is_some_and(|spec| self.limited(spec));
                 return;
             }
+            // What follows the first failure of a gang says nothing more.
+            Cause::Error if job.spec.gang && !job.is_whole() => {}
             Cause::Error => {
                 let ran = run.running_since.map_or(0, |since| now.saturating_sub(since));
                 self.on_failed(now, machine, run.task.job, ran);
@@ -185,7 +194,9 @@
             Cause::NoRoom | Cause::Busy | Cause::Unknown => {
                 job.pause_until = job.pause_until.max(now + REFUSED_PAUSE_MS);
             }
-            Cause::Stopped => {}
+            Cause::Alone => job.pause_until = job.pause_until.max(now + ALONE_PAUSE_MS),
+            // Neither the machine's fault nor the job's.
+            Cause::Stopped | Cause::Peers => {}
             Cause::Unrecognised => {
                 let task = run.task;
                 self.out.push(Effect::Note(format!(
@@ -193,17 +204,22 @@
                 )));
             }
         }
-        self.released(machine, run);
+        self.released(now, machine, run);
     }
 
     /// A run is surely off its machine without a result: its task may go elsewhere.
-    pub(super) fn released(&mut self, machine: &str, run: &Run) {
+    pub(super) fn released(&mut self, now: Millis, machine: &str, run: &Run) {
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
         let index = run.task.index;
         let here = |p: &Place| *p.machine == *machine && p.attempt == run.attempt;
-        if job.placed.get(&index).is_some_and(here) {
-            job.give_back(index);
-            self.replan = true;
+        if !job.placed.get(&index).is_some_and(here) {
+            return;
+        }
+        job.give_back(index);
+        self.replan = true;
+        if job.spec.gang {
+            let time_was_short = run.phase == Phase::Ended(Cause::Alone);
+            self.end_attempt(now, run.task.job, run.attempt, time_was_short);
         }
     }
 
@@ -236,7 +252,11 @@
                     // attempt is known to the machine and the late command does nothing.
                     push_stop(run, now, true, &mut commands);
                 }
-                Phase::Fetching | Phase::Running | Phase::Saving | Phase::Unrecognised => {
+                Phase::Fetching
+                | Phase::Waiting
+                | Phase::Running
+                | Phase::Saving
+                | Phase::Unrecognised => {
                     push_stop(run, now, true, &mut commands);
                 }
                 Phase::Ended(cause) => {
--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -52,6 +52,10 @@
     NoRoom,
     Busy,
     Unknown,
+    /// Another task of its gang was gone.
+    Peers,
+    /// Its gang was not complete in time.
+    Alone,
     /// A cause that this version does not know: the run is over, without a result.
     Unrecognised,
 }
@@ -61,6 +65,8 @@
 pub enum Phase {
     Assigned,
     Fetching,
+    /// Of a gang: it waits for the other tasks of its attempt.
+    Waiting,
     Running,
     Saving,
     /// A state that this version does not know: the run is on the machine, and takes its room.
--- a/crates/latchtrack-core/src/rules.rs
+++ b/crates/latchtrack-core/src/rules.rs
@@ -56,6 +56,7 @@
             team: String::new(),
             priority: Priority::Normal,
             tasks: 5,
+            gang: false,
             demand: Demand::default(),
             types: Some(vec!["g".into()]),
             zone: None,
--- a/crates/latchtrack-core/tests/common/mod.rs
+++ b/crates/latchtrack-core/tests/common/mod.rs
@@ -62,6 +62,7 @@
         team: "t".into(),
         priority: Priority::Normal,
         tasks,
+        gang: false,
         demand: Demand { cpus: 4.0, gpus: 0.0, memory_gb: 4.0 },
         types: None,
         zone: None,
--- a/crates/latchtrack-core/tests/simulation/main.rs
+++ b/crates/latchtrack-core/tests/simulation/main.rs
@@ -14,6 +14,7 @@
 #[test]
 fn the_rules_hold_and_the_work_gets_done() {
     let (mut done, mut terms, mut late, mut copies) = (0, 0, 0, 0);
+    let (mut gangs, mut broken_gangs) = (0, 0);
     for seed in SEEDS {
         let mut world = World::new(seed, Broken::Nothing);
         world.run();
@@ -23,12 +24,16 @@
         terms += world.terms;
         late += world.late_commands;
         copies += world.copies;
+        gangs += world.met.get("gang done").copied().unwrap_or(0);
+        broken_gangs += world.met.get("gang lost a task").copied().unwrap_or(0);
     }
     // The runs must have been troubled enough to mean something.
     assert!(done > 600, "{done} jobs done");
     assert!(terms > 120, "{terms} terms");
     assert!(late > 100, "{late} commands executed late");
     assert!(copies > 400, "{copies} late copies");
+    assert!(gangs > 150, "{gangs} gangs done");
+    assert!(broken_gangs > 50, "{broken_gangs} times a task of a running gang was missing");
 }
 
 /// Runs seeds until the checker speaks up; panics if it never does.
@@ -104,6 +109,17 @@
     caught(Broken::AnyPlace, "wrong_place");
 }
 
+#[test]
+fn starting_a_gang_beside_its_last_attempt_is_caught() {
+    caught(Broken::WaitingUnseen, "two_attempts");
+}
+
+/// The tasks of a gang that are not in one attempt never find each other.
+#[test]
+fn running_a_gang_task_by_task_is_caught() {
+    caught(Broken::TaskByTask, "two_attempts");
+}
+
 #[test]
 fn calling_a_job_done_too_early_is_caught() {
     caught(Broken::EarlyDone, "not_done");
@@ -124,7 +140,9 @@
 #[test]
 fn writing_packed_values_without_their_stamp_is_caught() {
     // Its window is short too: a machine that is missing in the set must be out of reach as well.
-    let size = Size { troubles: 0.09, submits: 0.04, capacity: 8, limit: 100.0, ..SMALL };
+    // Without gangs, as it was found.
+    let size =
+        Size { troubles: 0.09, submits: 0.04, capacity: 8, limit: 100.0, gangs: 0.0, ..SMALL };
     let caught = (0..300).any(|seed| {
         let mut world = World::sized(seed, Broken::NoPackStamp, size);
         world.run();
--- a/crates/latchtrack-core/tests/simulation/world/mod.rs
+++ b/crates/latchtrack-core/tests/simulation/world/mod.rs
@@ -1,6 +1,7 @@
 //! The world of the simulation: state service, cloud, workers, users, nodes and a referee.
 
 mod cloud;
+mod gangs;
 mod nodes;
 mod store;
 mod users;
@@ -40,6 +41,8 @@
     /// Chance of a submission in a step, most tasks of a job, jobs at the start.
     pub submits: f64,
     pub tasks: u32,
+    /// Chance that a job is a gang.
+    pub gangs: f64,
     pub first: usize,
     /// Chance of a trouble in a step.
     pub troubles: f64,
@@ -61,6 +64,7 @@
     report: 1_500,
     submits: 0.007,
     tasks: 6,
+    gangs: 0.2,
     first: 0,
     troubles: 0.02,
     copies: 0.02,
@@ -78,6 +82,7 @@
     report: 4_000,
     submits: 0.3,
     tasks: 60,
+    gangs: 0.1,
     first: 150,
     troubles: 0.06,
     copies: 0.02,
@@ -167,6 +172,10 @@
     CancelledUseNothing,
     /// A job that ended is called done, be it cancelled meanwhile.
     DoneAnyway,
+    /// Reports lack the waiting tasks of gangs, which so count as gone while they are there.
+    WaitingUnseen,
+    /// Gangs are taken for independent tasks.
+    TaskByTask,
     /// A new leader misses some of the open jobs.
     Forgetful,
     NoLimit,
@@ -362,6 +371,8 @@
     /// What the planned troubles came to, so that tests can tell that they did.
     pub met: BTreeMap<&'static str, u64>,
     completed: BTreeSet<TaskId>,
+    /// Attempts of gangs that have started, by job and attempt number.
+    gang_runs: BTreeMap<(JobId, u64), gangs::GangRun>,
     pub terms: u64,
     pub late_commands: u64,
     pub copies: u64,
@@ -453,6 +464,7 @@
             violations: Vec::new(),
             met: BTreeMap::new(),
             completed: BTreeSet::new(),
+            gang_runs: BTreeMap::new(),
             terms: 0,
             late_commands: 0,
             copies: 0,
@@ -522,6 +534,7 @@
             }
             self.step_store();
             self.step_workers();
+            self.step_gangs();
             for n in 0..self.nodes.len() {
                 self.step_node(n);
             }
--- a/crates/latchtrack-core/tests/simulation/world/nodes.rs
+++ b/crates/latchtrack-core/tests/simulation/world/nodes.rs
@@ -164,6 +164,9 @@
                         done.set(0);
                     }
                     let mut spec = j.spec.clone();
+                    if self.broken == Broken::TaskByTask {
+                        Arc::make_mut(&mut spec).gang = false;
+                    }
                     if self.broken == Broken::AnyPlace {
                         let s = Arc::make_mut(&mut spec);
                         (s.types, s.zone, s.one_zone, s.spread) = (None, None, false, false);
@@ -324,6 +327,9 @@
         match msg {
             Msg::Report { node, worker, mut report, id, sent } => {
                 self.copies += u64::from(id == 0);
+                if self.broken == Broken::WaitingUnseen {
+                    report.tasks.retain(|t| t.phase != Phase::Waiting);
+                }
                 if self.broken == Broken::CancelledUseNothing {
                     let cancelled = |id: &JobId| matches!(self.jobs[id].state, State::Cancelled);
                     report.tasks.retain(|t| !cancelled(&t.task.job));
--- a/crates/latchtrack-core/tests/simulation/world/users.rs
+++ b/crates/latchtrack-core/tests/simulation/world/users.rs
@@ -14,6 +14,7 @@
         team: "free".into(),
         priority: Priority::Low,
         tasks,
+        gang: false,
         demand: Demand { cpus, gpus: 0.0, memory_gb: cpus },
         types: None,
         zone: None,
@@ -29,6 +30,17 @@
     }
 }
 
+/// Makes a gang of a job, small enough for the machines of one zone and its team's limit.
+fn make_gang(spec: &mut JobSpec, limit: f64) {
+    spec.gang = true;
+    spec.tasks = spec.tasks.clamp(2, 4);
+    spec.demand.cpus = spec.demand.cpus.min(4.0);
+    if spec.team == "limited" {
+        spec.demand.cpus = spec.demand.cpus.min((limit / f64::from(spec.tasks)).floor());
+    }
+    spec.demand.memory_gb = spec.demand.cpus;
+}
+
 impl World {
     pub(super) fn begin_planned(&mut self) {
         let due: Vec<Planned> =
@@ -263,6 +275,7 @@
             team: if rng.random_bool(0.5) { "free".into() } else { "limited".into() },
             priority: Priority::Normal,
             tasks: rng.random_range(1..=self.size.tasks),
+            gang: false,
             demand: Demand { cpus, gpus: 0.0, memory_gb: cpus },
             types: rng.random_bool(0.2).then(|| vec!["large".to_string()]),
             zone: zone.clone(),
@@ -280,6 +293,9 @@
         if spec.one_zone {
             spec.spread = false;
         }
+        if self.size.gangs > 0.0 && self.rng.random_bool(self.size.gangs) {
+            make_gang(&mut spec, self.size.limit);
+        }
         self.accept(spec, mistakes);
     }
 
@@ -357,7 +373,7 @@
         let mut bad = Vec::new();
         for (name, w) in &self.workers {
             for ((task, _), t) in &w.tasks {
-                if !matches!(t.phase, Phase::Running | Phase::Saving) {
+                if !matches!(t.phase, Phase::Waiting | Phase::Running | Phase::Saving) {
                     continue;
                 }
                 let told = self.jobs.get(&task.job).and_then(|j| j.told_cancelled);
@@ -408,6 +424,15 @@
             if mine.len() + over >= j.spec.tasks as usize {
                 continue;
             }
+            if j.spec.gang {
+                let cpus = j.spec.demand.cpus * f64::from(j.spec.tasks);
+                let may =
+                    j.spec.team != "limited" || rules::within_limit(used, cpus, self.size.limit);
+                if mine.is_empty() && may && self.gang_fits(&j.spec, &rooms) {
+                    passed.insert(*id);
+                }
+                continue;
+            }
             let cpus = j.spec.demand.cpus;
             let may = j.spec.team != "limited" || rules::within_limit(used, cpus, self.size.limit);
             let fits = rooms.iter().any(|(w, free)| {
--- a/crates/latchtrack-core/tests/simulation/world/workers.rs
+++ b/crates/latchtrack-core/tests/simulation/world/workers.rs
@@ -114,8 +114,20 @@
                 }
                 Phase::Fetching => {
                     self.check_start(name, key.0);
-                    (Phase::Running, now + run)
+                    match self.is_gang(key.0.job) {
+                        true => {
+                            self.check_attempt(name, key);
+                            (Phase::Waiting, now + gangs::GANG_WAIT)
+                        }
+                        false => (Phase::Running, now + run),
+                    }
                 }
+                Phase::Waiting => {
+                    self.meets("gang incomplete");
+                    (Phase::Ended(Cause::Alone), u64::MAX)
+                }
+                // Ends with its gang.
+                Phase::Running if self.is_gang(key.0.job) => continue,
                 Phase::Running if w.sick || mistaken => {
                     self.failures += 1;
                     (Phase::Ended(Cause::Error), u64::MAX)
@@ -142,7 +154,7 @@
     }
 
     /// Some users cancel at the very moment at which the last task ends.
-    fn cancel_at_end(&mut self, id: JobId) {
+    pub(super) fn cancel_at_end(&mut self, id: JobId) {
         let (share, until) = self.cancels_at_end;
         if self.now >= until || self.now < self.store_down_until {
             return;
@@ -160,9 +172,11 @@
     pub(super) fn check_start(&mut self, name: &str, task: TaskId) {
         let now = self.now;
         let Some(j) = self.jobs.get_mut(&task.job) else { return };
-        j.begun.get_or_insert(now);
+        if !j.spec.gang {
+            j.begun.get_or_insert(now);
+        }
         let spec = j.spec.clone();
-        let on = |t: &WTask| matches!(t.phase, Phase::Running | Phase::Saving);
+        let on = |t: &WTask| matches!(t.phase, Phase::Waiting | Phase::Running | Phase::Saving);
         let mut zones = Vec::new();
         let mut used = 0.0;
         let mut bad = Vec::new();
--- a/crates/latchtrack/src/actors/intake.rs
+++ b/crates/latchtrack/src/actors/intake.rs
@@ -1,7 +1,7 @@
 //! Takes submissions and cancellations. Any node does so: a job is created if it is absent,
 //! several in one transaction; a cancellation is a compare-and-set on the job's record.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::sync::Arc;
 
 use actix::prelude::*;
@@ -102,12 +102,22 @@
         let Some(team) = self.teams.iter().find(|t| t.name == spec.team) else {
             return Some(format!("unknown team {}", spec.team));
         };
-        if placement::offers(spec, &self.types, 0).is_empty() {
+        let offers = placement::offers(spec, &self.types, 0);
+        if offers.is_empty() {
             return Some("a task fits no allowed machine type".into());
         }
-        let over = |need: f64, limit: f64| limit > 0.0 && need > limit + 1e-6;
+        let (tasks, who) = match spec.gang {
+            true => (f64::from(spec.tasks), "the gang needs"),
+            false => (1.0, "a task needs"),
+        };
+        let over = |need: f64, limit: f64| limit > 0.0 && need * tasks > limit + 1e-6;
         if over(spec.demand.cpus, team.cpus_max) || over(spec.demand.gpus, team.gpus_max) {
-            return Some(format!("a task needs more than the limit of team {}", team.name));
+            return Some(format!("{who} more than the limit of team {}", team.name));
+        }
+        let zones: HashSet<&str> = offers.iter().map(|o| o.zone.as_str()).collect();
+        // Half of a gang in one zone at most, and all of it at the same time.
+        if spec.gang && spec.spread && spec.tasks > 1 && (spec.one_zone || zones.len() < 2) {
+            return Some("the gang is to be apart and is bound to one zone".into());
         }
         None
     }
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -587,6 +587,7 @@
                 late_boots: c.late_classes(),
                 quiet_zones: c.quiet_zones(),
                 jobs_open: c.jobs().len(),
+                gangs_open: c.open_gangs(),
                 jobs_in_doubt: c.doubted().map(|id| id.to_string()).take(STATUS_JOBS).collect(),
                 tasks_waiting: s.waiting,
                 cpus: s.cpus,
--- a/crates/latchtrack/src/wire/records.rs
+++ b/crates/latchtrack/src/wire/records.rs
@@ -95,6 +95,9 @@
     save_s: f64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     deadline_s: Option<f64>,
+    /// Unknown to versions before gangs, which would run it task by task.
+    #[serde(default, skip_serializing_if = "is_false")]
+    gang: bool,
 }
 
 fn is_zero(x: &f64) -> bool {
@@ -137,6 +140,7 @@
                     checkpoint_s: spec.checkpoint_s,
                     save_s: spec.save_s,
                     deadline_s: spec.deadline_s,
+                    gang: spec.gang,
                 }),
             },
             Record::Done { tasks } => RecordDto::Done { tasks: *tasks },
@@ -173,6 +177,7 @@
                     team: s.team,
                     priority,
                     tasks: s.tasks,
+                    gang: s.gang,
                     demand: Demand { cpus: s.cpus, gpus: s.gpus, memory_gb: s.memory_gb },
                     types: s.types,
                     zone: s.zone,
@@ -313,6 +318,7 @@
             team: "t".into(),
             priority: Priority::High,
             tasks: 16,
+            gang: true,
             demand: Demand { cpus: 4.0, gpus: 0.0, memory_gb: 3.6 },
             types: Some(vec!["g".into()]),
             zone: None,
--- a/crates/latchtrack/src/wire/status.rs
+++ b/crates/latchtrack/src/wire/status.rs
@@ -29,6 +29,10 @@
     pub late_boots: Vec<String>,
     pub quiet_zones: Vec<String>,
     pub jobs_open: usize,
+    /// Of these, gangs: a version before 0.2 would run them task by task, so none may be open when nodes
+    /// go back to one. Absent in what such a version answers.
+    #[serde(default)]
+    pub gangs_open: usize,
     /// Jobs that have shown nothing but failures.
     pub jobs_in_doubt: Vec<String>,
     pub tasks_waiting: u64,
--- a/crates/latchtrack/src/wire/users.rs
+++ b/crates/latchtrack/src/wire/users.rs
@@ -66,9 +66,11 @@
 /// Reads the job of a submission. `builds`, `yard` and `due_s` may be null, and so be left out; a job
 /// that lacks any other field is none: what it needs would be guessed.
 pub fn parse_job(id: JobId, map: &Map<String, Value>) -> Result<JobSpec, BadSubmission> {
-    if text(map, "shape")? != "batch" {
-        return Err(Invalid("shape", "must be batch"));
-    }
+    let gang = match text(map, "shape")? {
+        "batch" => false,
+        "gang" => true,
+        _ => return Err(Invalid("shape", "must be batch or gang")),
+    };
     let priority = match text(map, "urgency")? {
         "production" => Priority::Production,
         "high" => Priority::High,
@@ -100,6 +102,7 @@
         team: text(map, "crew")?.to_string(),
         priority,
         tasks: tasks as u32,
+        gang,
         demand: Demand { cpus, gpus: needed(map, "cards")?, memory_gb: needed(map, "memory_gb")? },
         types,
         zone: match get(map, "yard") {
--- a/crates/latchtrack/src/wire/workers.rs
+++ b/crates/latchtrack/src/wire/workers.rs
@@ -52,6 +52,7 @@
 fn phase(state: &str) -> Phase {
     match state {
         "pulling" => Phase::Fetching,
+        "waiting" => Phase::Waiting,
         "running" => Phase::Running,
         "flushing" => Phase::Saving,
         _ => Phase::Unrecognised,
@@ -67,6 +68,8 @@
         Some("no_room") => Cause::NoRoom,
         Some("busy") => Cause::Busy,
         Some("unknown") => Cause::Unknown,
+        Some("peers") => Cause::Peers,
+        Some("alone") => Cause::Alone,
         _ => Cause::Unrecognised,
     }
 }
--- a/crates/latchtrack/tests/published_formats.rs
+++ b/crates/latchtrack/tests/published_formats.rs
@@ -22,6 +22,7 @@
         team: "t".into(),
         priority: Priority::High,
         tasks: 16,
+        gang: false,
         demand: Demand { cpus: 4.0, gpus: 1.0, memory_gb: 3.6 },
         types: Some(vec!["g".into()]),
         zone: Some("a".into()),
