--- /dev/null
+++ b/crates/latchtrack-core/tests/gangs.rs
@@ -0,0 +1,582 @@
+//! Gangs, each rule as a small case of its own. The simulation has them in all its troubles.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use common::*;
+use latchtrack_core::job::{Demand, JobId, JobSpec, TaskId};
+use latchtrack_core::leader::*;
+use latchtrack_core::machine::*;
+
+const TOKEN: u64 = 7;
+
+/// A leader with machines of eight CPUs that do what they are told at once.
+struct Site {
+    leader: Cluster,
+    now: u64,
+    /// What each machine lists.
+    tasks: BTreeMap<u64, BTreeMap<(TaskId, u64), Phase>>,
+    seq: u64,
+    /// Grace of the stops that machines were told, and how many launches.
+    stops: Vec<(TaskId, f64)>,
+    launches: Vec<(u64, TaskId, u64)>,
+    /// Machines whose answers and commands are lost.
+    deaf: BTreeSet<u64>,
+    notice: BTreeMap<u64, f64>,
+    writes: Vec<Write>,
+}
+
+fn zone_of(machine: u64) -> &'static str {
+    ["a", "b"][(machine % 2) as usize]
+}
+
+fn stored(machines: u64) -> Vec<StoredFleet> {
+    let machine = |i| StoredMachine {
+        name: name(i),
+        kind: "g".into(),
+        zone: zone_of(i).into(),
+        spot: false,
+        addr: name(i),
+    };
+    let machines = Some((0..machines).map(machine).collect());
+    vec![StoredFleet { name: "3-1".into(), stamp: 4, machines }]
+}
+
+fn new_leader(machines: u64, token: u64, policy: Policy, now: u64) -> Cluster {
+    let types = vec![machine_type(vec!["a".into(), "b".into()])];
+    let stamps = Stamps { token, vacant: token };
+    Cluster::new(policy, stamps, types, stored(machines), Vec::new(), now)
+}
+
+impl Site {
+    /// Even machines are in zone a, odd ones in zone b; all are up and settled.
+    fn new(machines: u64, policy: Policy) -> Site {
+        let mut site = Site {
+            leader: new_leader(machines, TOKEN, policy, 1_000),
+            now: 1_000,
+            tasks: (0..machines).map(|i| (i, BTreeMap::new())).collect(),
+            seq: 0,
+            stops: Vec::new(),
+            launches: Vec::new(),
+            deaf: BTreeSet::new(),
+            notice: BTreeMap::new(),
+            writes: Vec::new(),
+        };
+        site.report_all();
+        site
+    }
+
+    fn submit(&mut self, spec: JobSpec) {
+        let event = Event::Job {
+            spec: Arc::new(spec),
+            submitted_at: self.now,
+            stamp: self.leader.token() + 1,
+            done: None,
+        };
+        self.drive(event);
+    }
+
+    fn drive(&mut self, event: Event) {
+        let reporting = match &event {
+            Event::Report(report) => Some(report.machine.clone()),
+            _ => None,
+        };
+        for effect in self.leader.handle(self.now, event) {
+            match effect {
+                Effect::Answer(commands) => {
+                    let machine = reporting.clone().expect("an answer to a report");
+                    self.execute(&machine, &commands);
+                }
+                Effect::Call { machine, call, commands, .. } => {
+                    let heard = self.execute(&machine, &commands);
+                    let outcome = match heard {
+                        true => CallOutcome::Done(self.report_of(number(&machine))),
+                        false => CallOutcome::Lost,
+                    };
+                    self.drive(Event::Called { machine, call, outcome });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// False for a machine that hears nothing.
+    fn execute(&mut self, machine: &str, commands: &[Command]) -> bool {
+        let i = number(machine);
+        if self.deaf.contains(&i) {
+            return false;
+        }
+        let Some(tasks) = self.tasks.get_mut(&i) else { return false };
+        for command in commands {
+            match *command {
+                Command::Launch { task, attempt } => {
+                    if !tasks.contains_key(&(task, attempt)) {
+                        tasks.insert((task, attempt), Phase::Fetching);
+                        self.launches.push((i, task, attempt));
+                    }
+                }
+                Command::Stop { task, attempt, grace_s } => {
+                    self.stops.push((task, grace_s));
+                    if let Some(phase) = tasks.get_mut(&(task, attempt)) {
+                        let live = !matches!(phase, Phase::Ended(_));
+                        if live && grace_s == 0.0 {
+                            *phase = Phase::Ended(Cause::Stopped);
+                        } else if live {
+                            *phase = Phase::Saving;
+                        }
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    tasks.remove(&(task, attempt));
+                }
+            }
+        }
+        true
+    }
+
+    fn report_of(&mut self, i: u64) -> Report {
+        self.seq += 1;
+        let tasks = self.tasks[&i].iter().map(|((task, attempt), phase)| TaskReport {
+            task: *task,
+            attempt: *attempt,
+            phase: *phase,
+        });
+        Report {
+            machine: name(i),
+            addr: name(i),
+            kind: "g".into(),
+            zone: zone_of(i).into(),
+            spot: false,
+            session: 1,
+            seq: self.seq,
+            token: self.leader.token(),
+            notice_s: self.notice.get(&i).copied(),
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn report(&mut self, i: u64) {
+        let report = self.report_of(i);
+        self.drive(Event::Report(report));
+    }
+
+    fn report_all(&mut self) {
+        for i in self.tasks.keys().copied().collect::<Vec<_>>() {
+            self.report(i);
+        }
+    }
+
+    /// Time passes, with reports and writes as usual.
+    fn pass(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 200;
+            self.drive(Event::Tick);
+            if self.now % 1_000 == 0 {
+                self.report_all();
+            }
+            let writes = self.leader.next_writes(self.now, 8);
+            if !writes.is_empty() {
+                self.writes.extend(writes.clone());
+                let outcome = SaveOutcome::Ok(self.now);
+                self.drive(Event::Saved { writes, outcome });
+            }
+        }
+    }
+
+    /// Sets the phase of a job's live tasks, all of them or some.
+    fn set(&mut self, id: u64, phase: Phase, which: impl Fn(u32) -> bool) {
+        for tasks in self.tasks.values_mut() {
+            for ((task, _), p) in tasks.iter_mut() {
+                let live = !matches!(p, Phase::Ended(_));
+                if task.job == JobId(id) && live && which(task.index) {
+                    *p = phase;
+                }
+            }
+        }
+    }
+
+    /// Tasks of a job that machines list and that have not ended, by attempt.
+    fn live(&self, id: u64) -> BTreeMap<u64, usize> {
+        let mut live = BTreeMap::new();
+        for ((task, attempt), phase) in self.tasks.values().flatten() {
+            if task.job == JobId(id) && !matches!(phase, Phase::Ended(_)) {
+                *live.entry(*attempt).or_default() += 1;
+            }
+        }
+        live
+    }
+
+    fn state(&self, id: u64) -> AttemptState {
+        self.leader.attempt_state(&self.leader.jobs()[&JobId(id)])
+    }
+}
+
+fn number(machine: &str) -> u64 {
+    machine[2..].parse().unwrap()
+}
+
+/// Nothing is given back while a case lasts.
+fn patient() -> Policy {
+    Policy { ordinary_idle_wait_ms: 600_000, ..policy() }
+}
+
+/// A gang of tasks of four CPUs, two to a machine.
+fn gang(id: u64, tasks: u32) -> JobSpec {
+    JobSpec { gang: true, spot: false, ..(*spec(id, tasks)).clone() }
+}
+
+fn array(id: u64, tasks: u32) -> JobSpec {
+    JobSpec { spot: false, ..(*spec(id, tasks)).clone() }
+}
+
+/// The attempt in which all tasks of the job are, and no other.
+#[track_caller]
+fn only_attempt(site: &Site, id: u64, tasks: usize) -> u64 {
+    let live = site.live(id);
+    assert_eq!(live.len(), 1, "{live:?}");
+    let (attempt, n) = live.into_iter().next().unwrap();
+    assert_eq!(n, tasks);
+    attempt
+}
+
+#[test]
+fn a_gang_starts_whole_under_one_attempt_number_or_not_at_all() {
+    let mut site = Site::new(2, patient());
+    site.submit(gang(1, 5));
+    site.pass(1_000);
+    assert_eq!(site.launches, [], "five do not fit");
+    site.submit(gang(2, 4));
+    site.pass(400);
+    only_attempt(&site, 2, 4);
+    assert_eq!(site.state(2), AttemptState::Starting);
+    site.set(2, Phase::Waiting, |i| i > 0);
+    site.pass(2_000);
+    assert_eq!(site.state(2), AttemptState::Starting);
+    let running = |site: &Site| site.leader.progress().find(|(id, ..)| id.0 == 2).unwrap().2;
+    assert_eq!(running(&site), 0);
+    site.set(2, Phase::Running, |_| true);
+    site.pass(1_000);
+    assert_eq!((site.state(2), running(&site)), (AttemptState::Running, 4));
+}
+
+#[test]
+fn a_gang_of_one_zone_is_in_one_zone() {
+    let mut site = Site::new(4, patient());
+    site.submit(JobSpec { one_zone: true, ..gang(1, 4) });
+    site.pass(400);
+    only_attempt(&site, 1, 4);
+    let zones: BTreeSet<&str> = site.launches.iter().map(|(i, ..)| zone_of(*i)).collect();
+    assert_eq!(zones.len(), 1);
+    // Half of one that is to be apart, rounded up.
+    let mut site = Site::new(4, patient());
+    site.submit(JobSpec { spread: true, ..gang(1, 5) });
+    site.pass(400);
+    only_attempt(&site, 1, 5);
+    let in_a = site.launches.iter().filter(|(i, ..)| zone_of(*i) == "a").count();
+    assert!((2..=3).contains(&in_a), "{in_a} in zone a");
+}
+
+/// Whatever the stage and the cause, the other tasks are told to go when one has, and the next attempt
+/// waits until all of them have.
+#[test]
+fn the_next_attempt_starts_when_every_task_of_the_last_one_is_gone() {
+    for stage in [Phase::Fetching, Phase::Waiting, Phase::Running] {
+        for cause in [Cause::Error, Cause::Alone, Cause::Peers, Cause::NoRoom, Cause::Unrecognised]
+        {
+            let mut site = Site::new(2, patient());
+            site.submit(gang(1, 4));
+            site.pass(400);
+            let first = only_attempt(&site, 1, 4);
+            site.set(1, stage, |_| true);
+            site.pass(1_000);
+            // One machine hears nothing from here on: its tasks stay.
+            site.deaf.insert(1);
+            site.set(1, Phase::Ended(cause), |i| i == 0);
+            site.report(0);
+            site.report(1);
+            assert_eq!(site.state(1), AttemptState::Stopping);
+            site.pass(3_000);
+            assert_eq!(
+                site.live(1).keys().copied().collect::<Vec<_>>(),
+                [first],
+                "{stage:?} {cause:?}"
+            );
+            site.deaf.clear();
+            // A machine that failed is avoided for a while.
+            site.pass(60_000);
+            let second = only_attempt(&site, 1, 4);
+            assert!(second > first, "{stage:?} {cause:?}");
+        }
+    }
+}
+
+/// The fetch would begin anew with the next attempt, and time be short again.
+#[test]
+fn after_a_slow_fetch_the_image_is_there_for_the_next_attempt() {
+    let mut site = Site::new(2, patient());
+    site.submit(gang(1, 4));
+    site.pass(400);
+    site.set(1, Phase::Waiting, |i| i < 2);
+    site.pass(1_000);
+    site.set(1, Phase::Ended(Cause::Alone), |i| i < 2);
+    site.pass(5_000);
+    let fetching = |site: &Site| {
+        site.tasks.values().flatten().filter(|(_, phase)| **phase == Phase::Fetching).count()
+    };
+    assert_eq!((fetching(&site), site.state(1)), (2, AttemptState::Stopping));
+    // It has it now.
+    site.set(1, Phase::Waiting, |_| true);
+    site.pass(3_000);
+    only_attempt(&site, 1, 4);
+    assert_eq!((site.launches.len(), site.state(1)), (8, AttemptState::Starting));
+    // One that never comes to an end holds up nobody for ever.
+    site.set(1, Phase::Ended(Cause::Alone), |i| i < 2);
+    site.pass(60_000);
+    assert!(site.launches.len() >= 12, "{}", site.launches.len());
+}
+
+#[test]
+fn the_first_task_that_is_done_completes_the_gang() {
+    let mut site = Site::new(2, patient());
+    site.submit(gang(1, 4));
+    site.pass(400);
+    site.set(1, Phase::Running, |_| true);
+    site.pass(1_000);
+    site.set(1, Phase::Ended(Cause::Done), |i| i == 3);
+    site.pass(1_000);
+    let done = Write::Done { job: JobId(1), stamp: TOKEN + 1, tasks: 4 };
+    assert!(site.writes.contains(&done), "{:?}", site.writes);
+    assert_eq!(site.stops, [], "the others complete with it");
+    assert!(site.leader.jobs().is_empty());
+}
+
+/// What an earlier version, which knew no gangs, stored of one.
+#[test]
+fn a_stored_result_of_one_task_means_that_the_gang_is_done() {
+    let mut site = Site::new(2, patient());
+    let mut done = latchtrack_core::bitmap::Bitmap::new(4);
+    done.set(2);
+    let spec = Arc::new(gang(1, 4));
+    site.drive(Event::Job { spec, submitted_at: 0, stamp: 3, done: Some(done) });
+    site.pass(1_000);
+    assert!(site.writes.contains(&Write::Done { job: JobId(1), stamp: 3, tasks: 4 }));
+    assert_eq!(site.launches, []);
+}
+
+/// The next leader finds an attempt at some stage.
+fn after_take_over(phase_of: impl Fn(u32) -> Phase, forgotten: Option<u32>) -> Site {
+    let mut site = Site::new(2, patient());
+    site.submit(gang(1, 4));
+    site.pass(400);
+    for index in 0..4 {
+        site.set(1, phase_of(index), |i| i == index);
+    }
+    for tasks in site.tasks.values_mut() {
+        tasks.retain(|(task, _), _| Some(task.index) != forgotten);
+    }
+    site.leader = new_leader(2, TOKEN + 9, patient(), site.now);
+    let spec = Arc::new(gang(1, 4));
+    site.drive(Event::Job { spec, submitted_at: 0, stamp: TOKEN + 1, done: None });
+    site.report(0);
+    site.pass(600);
+    site
+}
+
+#[test]
+fn a_new_leader_leaves_a_whole_attempt_alone() {
+    for phase in [Phase::Running, Phase::Waiting, Phase::Fetching] {
+        let mut site = after_take_over(|_| phase, None);
+        site.pass(10_000);
+        only_attempt(&site, 1, 4);
+        assert_eq!((site.launches.len(), site.stops.len()), (4, 0), "{phase:?}");
+    }
+}
+
+#[test]
+fn a_new_leader_ends_an_attempt_that_is_not_whole_and_makes_a_new_one() {
+    for forgotten in 0..4 {
+        let mut site = after_take_over(|_| Phase::Waiting, Some(forgotten));
+        site.pass(10_000);
+        let attempt = only_attempt(&site, 1, 4);
+        assert_eq!(attempt >> latchtrack_core::constants::ATTEMPT_BITS, TOKEN + 9);
+        assert_eq!((site.launches.len(), site.stops.len()), (8, 3));
+    }
+}
+
+/// A line of an older attempt that was not forgotten yet says nothing of the one that runs.
+#[test]
+fn an_ended_task_of_an_older_attempt_does_not_end_the_next() {
+    let mut site = after_take_over(|_| Phase::Running, None);
+    let old = (TaskId { job: JobId(1), index: 0 }, 1);
+    for i in 0..2 {
+        let tasks = site.tasks.get_mut(&i).unwrap();
+        tasks.insert(old, Phase::Ended(Cause::Alone));
+    }
+    site.leader = new_leader(2, TOKEN + 20, patient(), site.now);
+    let spec = Arc::new(gang(1, 4));
+    site.drive(Event::Job { spec, submitted_at: 0, stamp: TOKEN + 1, done: None });
+    site.pass(5_000);
+    assert_eq!((site.state(1), site.stops.len()), (AttemptState::Running, 0));
+}
+
+#[test]
+fn a_cancelled_gang_is_stopped_whole_at_every_stage() {
+    for stage in [Phase::Fetching, Phase::Waiting, Phase::Running, Phase::Saving] {
+        let mut site = Site::new(2, patient());
+        site.submit(gang(1, 4));
+        site.pass(400);
+        site.set(1, stage, |_| true);
+        site.pass(1_000);
+        site.drive(Event::Closed(JobId(1)));
+        assert_eq!(site.live(1).len(), 0, "{stage:?}");
+        site.pass(5_000);
+        assert_eq!(site.launches.len(), 4);
+    }
+}
+
+/// A machine is to be taken: all tasks save, or none is told to.
+#[test]
+fn a_gang_that_can_save_is_stopped_whole_with_enough_grace() {
+    let saving = JobSpec { checkpoint_s: 20.0, save_s: 3.0, ..gang(1, 4) };
+    let mut site = Site::new(2, patient());
+    site.submit(saving.clone());
+    site.pass(400);
+    site.set(1, Phase::Running, |_| true);
+    site.pass(1_000);
+    site.notice.insert(0, 15.0);
+    site.report(0);
+    site.drive(Event::Tick);
+    let told: BTreeSet<TaskId> = site.stops.iter().map(|(task, _)| *task).collect();
+    assert_eq!((told.len(), site.stops.len()), (4, 4));
+    assert!(site.stops.iter().all(|(_, grace_s)| *grace_s >= 3.0), "{:?}", site.stops);
+    // One saved: the progress of all is safe, and nobody need wait.
+    site.set(1, Phase::Ended(Cause::Stopped), |i| i == 0);
+    site.report_all();
+    site.drive(Event::Tick);
+    assert_eq!(site.live(1).len(), 0);
+
+    let mut site = Site::new(2, patient());
+    site.submit(saving);
+    site.pass(400);
+    // A waiting gang has nothing to save.
+    site.notice.insert(0, 15.0);
+    site.pass(2_000);
+    assert_eq!(site.stops, []);
+}
+
+#[test]
+fn a_gang_counts_whole_against_its_teams_limit() {
+    let mut policy = patient();
+    policy.teams[0].cpus_max = 16.0;
+    let mut site = Site::new(4, policy);
+    site.submit(gang(1, 4));
+    site.submit(gang(2, 4));
+    site.pass(2_000);
+    let (first, second) = (site.live(1), site.live(2));
+    assert_eq!(first.len() + second.len(), 1, "{first:?} {second:?}");
+    // Not before the last task of the first is gone.
+    let (begun, waits) = if first.is_empty() { (2, 1) } else { (1, 2) };
+    site.set(begun, Phase::Running, |_| true);
+    site.pass(1_000);
+    site.set(begun, Phase::Ended(Cause::Done), |i| i < 3);
+    site.pass(2_000);
+    assert_eq!(site.live(waits).len(), 0);
+    site.set(begun, Phase::Ended(Cause::Done), |_| true);
+    site.pass(2_000);
+    only_attempt(&site, waits, 4);
+}
+
+/// Two gangs that each could hold half: room comes free for one task after the other, and an array is
+/// there to take it.
+#[test]
+fn room_is_gathered_for_one_gang_after_the_other() {
+    let mut site = Site::new(2, patient());
+    site.submit(array(1, 4));
+    site.pass(400);
+    site.set(1, Phase::Running, |_| true);
+    site.submit(gang(2, 4));
+    site.submit(gang(3, 4));
+    site.pass(4_000);
+    // Behind the gangs by its demand.
+    site.submit(array(4, 3));
+    for index in 0..4 {
+        site.set(1, Phase::Ended(Cause::Done), |i| i == index);
+        site.pass(3_000);
+        let begun = usize::from(index == 3);
+        assert_eq!(site.live(2).len() + site.live(3).len(), begun, "after {index}");
+        assert_eq!(site.live(4).len(), 0, "after {index}");
+    }
+}
+
+/// A gang far down the queue, with no aim, all the same begins soon.
+#[test]
+fn a_gang_behind_an_endless_queue_begins() {
+    let mut policy = patient();
+    policy.aims = vec![Aim { class: "aimed".into(), due: Due::Within(3_600_000) }];
+    let mut site = Site::new(2, policy);
+    site.submit(JobSpec { class: "aimed".into(), ..array(1, 10_000) });
+    site.pass(1_000);
+    site.submit(gang(2, 3));
+    let mut begun = None;
+    for second in 0..90 {
+        // One task of the array ends each second.
+        site.set(1, Phase::Running, |_| true);
+        let next = site
+            .tasks
+            .values()
+            .flatten()
+            .filter(|((t, _), p)| t.job == JobId(1) && **p == Phase::Running)
+            .map(|((t, _), _)| t.index)
+            .min();
+        site.set(1, Phase::Ended(Cause::Done), |i| Some(i) == next);
+        site.pass(1_000);
+        if !site.live(2).is_empty() {
+            begun = Some(second);
+            break;
+        }
+    }
+    assert!(begun.is_some_and(|s| s < 60), "begun after {begun:?} s");
+    only_attempt(&site, 2, 3);
+}
+
+/// One attempt is one observation: a gang whose tasks all fail at once is not yet in doubt, and its
+/// machines are not suspected beyond the first.
+#[test]
+fn the_failures_of_one_attempt_count_once() {
+    let mut site = Site::new(4, patient());
+    let demand = Demand { cpus: 8.0, gpus: 0.0, memory_gb: 8.0 };
+    site.submit(JobSpec { demand, ..gang(1, 4) });
+    site.pass(400);
+    site.set(1, Phase::Running, |_| true);
+    site.pass(1_000);
+    site.set(1, Phase::Ended(Cause::Error), |_| true);
+    site.report_all();
+    let job = &site.leader.jobs()[&JobId(1)];
+    assert_eq!((job.failed_on.len(), job.in_doubt), (1, false));
+    let suspected = site.leader.machines().values().filter(|m| !m.failed_jobs.is_empty()).count();
+    assert_eq!(suspected, 1);
+}
+
+/// The launch of one task was never answered, and may be executed later: the attempt stays until that
+/// machine is known not to run it.
+#[test]
+fn a_launch_that_may_come_late_keeps_the_next_attempt_waiting() {
+    let mut site = Site::new(2, patient());
+    site.deaf.insert(1);
+    site.submit(gang(1, 4));
+    site.pass(400);
+    let first = *site.live(1).keys().next().unwrap();
+    site.set(1, Phase::Ended(Cause::Alone), |_| true);
+    site.pass(3_000);
+    assert_eq!(site.live(1).len(), 0);
+    assert_eq!(site.state(1), AttemptState::Stopping);
+    // It hears again: it is told of the attempt and that it is over, in one answer.
+    site.deaf.clear();
+    site.pass(6_000);
+    let late = site.launches.iter().filter(|(i, _, attempt)| *i == 1 && *attempt == first).count();
+    assert_eq!(late, 2);
+    assert!(only_attempt(&site, 1, 4) > first);
+}
