--- a/crates/latchtrack/tests/faces/main.rs
+++ b/crates/latchtrack/tests/faces/main.rs
@@ -1,6 +1,7 @@
 //! The faces that users and workers see, on loopback.
 
 mod answers;
+mod gangs;
 mod standins;
 
 use serde_json::{json, Value};
--- a/crates/latchtrack/tests/faces/standins/mod.rs
+++ b/crates/latchtrack/tests/faces/standins/mod.rs
@@ -447,8 +447,10 @@
                          "cloud": format!("127.0.0.1:{}", self.cloud)},
             "params": {"zones": ["a"],
                 "teams": [{"name": "team"}, {"name": "small", "cpus_max": 2.0}],
-                "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 20.0},
-                "state": {"rps": 1000.0, "write_rps": 1000.0, "value_kb": 4.0, "txn_ops": 8},
+                "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 20.0,
+                    "gang_wait_s": 5.0, "gang_peer_s": 2.0},
+                "state": {"rps": 1000.0, "write_rps": 1000.0, "value_kb": 4.0, "txn_ops": 8,
+                    "next": {"value_kb": 2.0, "txn_ops": 4}},
                 "cloud": {"rps": 100.0, "list_lag_s": 1.0},
                 "machine_limits": {"cpu": 1.0, "mem_mb": 100.0, "max_sockets": 200}}
         }))
