A slice above its team's limit held up the whole team; gangs and lowered limits in the simulation's troubles

Cause: an operator's slice of two tasks can be more than its team may use.

A slice is now bounded by the limit. The simulation plays gangs through changes of leader, machines that die, hang, are cut, deaf, mute or fail, cancellations, a cut zone, late commands, writes and reports, a tight limit, and lowered limits of the state service, told and untold.

--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -268,10 +268,23 @@
     pub(super) fn slice_of(&self, spec: &JobSpec) -> u32 {
         match spec.gang {
             true => spec.tasks,
-            false => self.policy.slice.max(1).min(spec.tasks),
+            // A slice above what its team may ever use would never start.
+            false => {
+                self.policy.slice.min(self.within_limit(spec, (0.0, 0.0))).clamp(1, spec.tasks)
+            }
         }
     }
 
+    /// How many tasks its team's limit allows beside so many CPUs and GPUs in use.
+    fn within_limit(&self, spec: &JobSpec, (cpus, gpus): (f64, f64)) -> u32 {
+        let Some(team) = self.policy.teams.iter().find(|t| t.name == spec.team) else { return 0 };
+        if !has_limit(team) {
+            return u32::MAX;
+        }
+        let left = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::INFINITY };
+        fits(&spec.demand, left(team.cpus_max, cpus), left(team.gpus_max, gpus), f64::INFINITY)
+    }
+
     /// Whether a job goes before all others, since nothing of it has begun for long.
     fn is_to_begin(&self, now: Millis, job: &Job) -> bool {
         if job.spec.gang {
@@ -390,16 +403,11 @@
 
     /// How many more tasks the team's limit allows.
     pub(super) fn limit_left(&self, spec: &JobSpec, round: &Round) -> u32 {
-        let Some(team) = self.policy.teams.iter().find(|t| t.name == spec.team) else { return 0 };
-        if !has_limit(team) {
-            return u32::MAX;
-        }
-        if round.unknown_runs {
+        if self.limited(spec) && round.unknown_runs {
             return 0;
         }
-        let (cpus, gpus) = round.used.get(&spec.team).copied().unwrap_or_default();
-        let left = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::INFINITY };
-        fits(&spec.demand, left(team.cpus_max, cpus), left(team.gpus_max, gpus), f64::INFINITY)
+        let used = round.used.get(&spec.team).copied().unwrap_or_default();
+        self.within_limit(spec, used)
     }
 
     fn place_job(&mut self, now: Millis, turn: &mut Turn, round: &mut Round) {
--- a/crates/latchtrack-core/tests/gangs.rs
+++ b/crates/latchtrack-core/tests/gangs.rs
@@ -580,3 +580,20 @@
     assert_eq!(late, 2);
     assert!(only_attempt(&site, 1, 4) > first);
 }
+
+/// Found by simulation: an operator's slice of two tasks was more than the team's limit allows. The job
+/// could never begin, and once it was to begin before all others the whole limit was kept for it.
+#[test]
+fn a_slice_above_its_teams_limit_holds_up_nobody() {
+    let mut policy = Policy { slice: 2, ..patient() };
+    policy.teams[0].cpus_max = 4.0;
+    let mut site = Site::new(2, policy);
+    site.submit(array(1, 2));
+    site.submit(JobSpec { demand: Demand { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 }, ..gang(2, 4) });
+    for _ in 0..400 {
+        site.pass(1_000);
+        site.set(1, Phase::Ended(Cause::Done), |_| true);
+        site.set(2, Phase::Ended(Cause::Done), |_| true);
+    }
+    assert!(site.leader.jobs().is_empty());
+}
--- a/crates/latchtrack-core/tests/simulation/main.rs
+++ b/crates/latchtrack-core/tests/simulation/main.rs
@@ -4,6 +4,7 @@
 //! against what really runs. Each guard is broken once on purpose, from outside the core, to show
 //! that the checks would tell.
 
+mod gangs;
 mod meetings;
 mod world;
 
--- a/crates/latchtrack-core/tests/simulation/world/mod.rs
+++ b/crates/latchtrack-core/tests/simulation/world/mod.rs
@@ -139,6 +139,10 @@
     CopiesForNext(f64, u64),
     /// For so many ms four jobs of one task come a second; a quarter of them is cancelled.
     Swarm(u64),
+    /// Leaders from now on keep to so many bytes of a value and so many changes of a transaction.
+    KeepTo(usize, usize),
+    /// The state service takes no more than that from now on.
+    Lower(usize, usize),
     /// A part of the machines of a zone dies, where jobs of one zone are at work.
     LoseZone(f64),
 }
@@ -350,6 +354,9 @@
     /// The zone that is cut off, and until when.
     zone_cut: Option<(&'static str, u64)>,
     plan: Vec<(u64, Planned)>,
+    /// Bytes of a value and changes of a transaction that leaders keep to, and that the service takes.
+    kept_to: (usize, usize),
+    taken: (usize, usize),
     // Cloud.
     cloud_down_until: u64,
     /// Times the usual boot, chance of none, and until when.
@@ -449,6 +456,8 @@
             store_down_until: 0,
             zone_cut: None,
             plan: Vec::new(),
+            kept_to: (if size.capacity > 10 { 4_096 } else { 300 }, 8),
+            taken: (usize::MAX, usize::MAX),
             cloud_down_until: 0,
             boots: (1.0, 0.03, 0),
             late_writes: (0.0, 0),
--- a/crates/latchtrack-core/tests/simulation/world/nodes.rs
+++ b/crates/latchtrack-core/tests/simulation/world/nodes.rs
@@ -110,7 +110,7 @@
             list_lag_ms: 1_500,
             lease_ms: if self.broken == Broken::ShortLease { 0 } else { LEASE },
             calls_open: 16.max(self.size.capacity),
-            value_bytes: if self.size.capacity > 10 { 4_096 } else { 300 },
+            value_bytes: self.kept_to.0,
             teams: vec![team("free", 0.0), team("limited", limit)],
             aimed: ["c", "d"].map(String::from).into(),
             prompt: vec![("d".into(), 1_000)],
@@ -293,7 +293,7 @@
         }
         let gap = self.size.write_gap;
         let Some(c) = node.cluster.as_mut() else { return };
-        let writes = c.next_writes(now, 8);
+        let writes = c.next_writes(now, self.kept_to.1);
         if writes.is_empty() {
             return;
         }
--- a/crates/latchtrack-core/tests/simulation/world/store.rs
+++ b/crates/latchtrack-core/tests/simulation/world/store.rs
@@ -2,6 +2,17 @@
 
 use super::*;
 
+/// Bytes of the value that a change puts.
+fn value_size(write: &Write) -> usize {
+    match write {
+        Write::Fleet { machines, .. } => machines.iter().map(StoredMachine::bytes).sum(),
+        Write::Results { chunks, .. } => {
+            chunks.iter().map(|(_, _, bytes)| bytes.len().div_ceil(3) * 4 + 24).sum()
+        }
+        Write::Done { .. } => 0,
+    }
+}
+
 impl World {
     pub(super) fn step_store(&mut self) {
         if self.now < self.store_down_until {
@@ -20,6 +31,14 @@
         if self.now < self.store_down_until {
             return SaveOutcome::NotDone;
         }
+        let (bytes, changes) = self.taken;
+        if writes.len() > changes || writes.iter().any(|w| value_size(w) > bytes) {
+            self.meets("write refused");
+            return SaveOutcome::Refused;
+        }
+        if writes.iter().any(|w| value_size(w) > self.kept_to.0) {
+            self.meets("value above what leaders keep to");
+        }
         let none = || SaveOutcome::Conflict { jobs: vec![], fleet: vec![], results: vec![] };
         self.puts += writes.len() as u64;
         if self.broken != Broken::NoFence {
--- a/crates/latchtrack-core/tests/simulation/world/users.rs
+++ b/crates/latchtrack-core/tests/simulation/world/users.rs
@@ -89,6 +89,8 @@
                 Planned::LateWrites(share, ms) => self.late_writes = (share, now + ms),
                 Planned::LostAnswers(share, ms) => self.lost_answers = (share, now + ms),
                 Planned::CopiesForNext(share, ms) => self.copies_kept = (share, now + ms),
+                Planned::KeepTo(bytes, changes) => self.kept_to = (bytes, changes),
+                Planned::Lower(bytes, changes) => self.taken = (bytes, changes),
                 Planned::Swarm(ms) => self.swarm_until = now + ms,
                 Planned::LoseZone(share) => {
                     let bound = self
