--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -109,6 +109,9 @@
 /// ms a gang finds no room, or not enough under its team's limit, before what is missing is kept for it
 /// alone: its room never comes free by itself while others take it task by task.
 pub const GANG_BEGIN_MS: Millis = 30_000;
+/// ms since the last gang of a shape for which room for another is kept: some minutes of what comes a few
+/// times a minute.
+pub const RESERVE_MEMORY_MS: Millis = 120_000;
 /// s added to what a task needs to save when a whole gang is told to stop: the way of the commands.
 pub const STOP_GRACE_S: f64 = 1.0;
 /// ms the first pause of a failing job lasts; doubles with each further machine.
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -352,7 +352,10 @@
                 } else {
                     self.policy.ordinary_idle_wait_ms
                 };
-                if m.notice_at.is_some() || m.is_slow() || now.saturating_sub(since) >= wait {
+                // Kept for tasks to come, for instance until the last machine of a gang is up.
+                let is_kept = self.held.contains_key(&m.name) || self.kept.contains(&m.name);
+                let is_idle = now.saturating_sub(since) >= wait && !is_kept;
+                if m.notice_at.is_some() || m.is_slow() || is_idle {
                     m.leaving = true;
                 }
             }
--- a/crates/latchtrack-core/src/leader/gang.rs
+++ b/crates/latchtrack-core/src/leader/gang.rs
@@ -84,15 +84,12 @@
     ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.attempt_ended_at.get_or_insert(now);
-        let places: Vec<(u32, Arc<str>)> = job
-            .placed
-            .iter()
-            .filter(|(_, place)| place.attempt == attempt)
-            .map(|(index, place)| (*index, place.machine.clone()))
-            .collect();
+        let places: Vec<(u32, Arc<str>)> =
+            job.placed.iter().map(|(index, place)| (*index, place.machine.clone())).collect();
         for (index, machine) in places {
             let Some(m) = self.machines.get_mut(&*machine) else { continue };
             let key = (TaskId { job: id, index }, attempt);
+            // Of another attempt, or already off its machine.
             let Some(run) = m.runs.get_mut(&key) else { continue };
             match ending(run, keeps_fetching) {
                 Ending::NeverSent => {
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -19,6 +19,7 @@
 mod policy;
 mod renting;
 mod reports;
+mod reserve;
 mod saving;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -33,6 +34,7 @@
 use order::Turn;
 use placing::Shapes;
 use reports::stop_runs_of;
+use reserve::Reserve;
 use saving::{load_results, results_bytes, stored_of};
 
 use crate::bitmap::{all_chunks, chunk_of, is_large_chunk, small_chunks, Bitmap};
@@ -107,6 +109,8 @@
     begin: Vec<JobId>,
     /// Gangs for which the last round found room for some tasks only: what comes free is kept for them.
     gathering: HashSet<JobId>,
+    /// Room kept for gangs to come, by shape.
+    reserves: BTreeMap<usize, Reserve>,
     kept: HashSet<Arc<str>>,
     /// Images that some machine holds, looked up once a second.
     held_images: HashSet<String>,
@@ -207,6 +211,7 @@
             queue: Vec::new(),
             begin: Vec::new(),
             gathering: HashSet::new(),
+            reserves: BTreeMap::new(),
             kept: HashSet::new(),
             held_images: HashSet::new(),
             images_at: None,
@@ -376,6 +381,7 @@
         // The record's stamp is that of its creation while the job is open.
         let inherited = stamp < self.vacant;
         let shape = self.shapes.of(&spec);
+        self.note_for_reserve(&spec, shape, submitted_at);
         let mut job = Job::new(spec, submitted_at, stamp, inherited, done);
         job.shape = shape;
         self.jobs.insert(id, job);
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -246,12 +246,17 @@
             let since = self.jobs[&id].submitted_at.saturating_add(BEGIN_MS + BEGIN_KEEP_MS);
             if most < slice {
                 self.count_use(&spec, slice, &mut round);
-            } else if spec.gang {
+                continue;
+            }
+            if spec.gang {
                 self.hold_for_gang(now, &spec, KEPT, true, &mut round);
             } else if now >= since {
                 self.hold(now, &spec, KEPT, 1, &mut round);
             }
+            // In its turn the limit may be gone, and nothing would ever be rented for it.
+            self.place_job(now, &mut Turn { job: id, most: slice }, &mut round);
         }
+        self.hold_reserves(now, &mut round);
         for turn in &mut order {
             self.place_job(now, turn, &mut round);
         }
@@ -287,6 +292,10 @@
 
     /// Whether a job goes before all others, since nothing of it has begun for long.
     fn is_to_begin(&self, now: Millis, job: &Job) -> bool {
+        // Nothing is kept for a job in doubt.
+        if job.in_doubt {
+            return false;
+        }
         if job.spec.gang {
             return job.passed_since.is_some_and(|since| now >= since + GANG_BEGIN_MS);
         }
@@ -322,6 +331,10 @@
         if self.kept.contains(machine) {
             return;
         }
+        if self.is_for_reserve(&room) {
+            self.replan = true;
+            return;
+        }
         let mut empty = 0;
         while room.free.cpus > 0.0 {
             let next = self.next_here(now, machine, &room);
@@ -356,7 +369,11 @@
         // It is kept from those that come after the jobs for which it is held.
         let held = self.held.get(machine).copied();
         let kept = held.map(|h| (h.shape, Room { held, ..room.clone() }));
-        let mut room = room;
+        // What is kept for gangs to come is kept from all.
+        let mut room = match &kept {
+            Some((shape, kept)) if self.reserves.contains_key(shape) => kept,
+            _ => room,
+        };
         for (i, turn) in self.queue.iter().enumerate() {
             let Some(job) = self.jobs.get(&turn.job).filter(|j| turn.most > 0 && j.wanted() > 0)
             else {
@@ -422,7 +439,7 @@
         let waiting = all.min(self.limit_left(&spec, round));
         if spec.gang && waiting < all {
             // Whole or not at all: it waits for its team's limit.
-            if let Some(job) = self.jobs.get_mut(&id) {
+            if let Some(job) = self.jobs.get_mut(&id).filter(|_| !in_doubt) {
                 job.passed_since.get_or_insert(now);
             }
             return;
