Names of the field: cache, leadership, cloud request, cluster view; tests and docs follow

Behaviour is unchanged. What a node answers to a status request of another version is in the published formats.

--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -138,7 +138,7 @@
 
     pub(super) fn on_tick(&mut self, now: Millis) {
         self.exhausted.retain(|_, until| *until > now);
-        // Out of office for a while, or standing still: the machines spoke, and nobody listened.
+        // Not leading for a while, or standing still: the machines spoke, and nobody listened.
         if now > self.last_tick.saturating_add(AWAY_MS) {
             self.listening_since = now;
         }
--- a/crates/latchtrack-core/src/leader/messages.rs
+++ b/crates/latchtrack-core/src/leader/messages.rs
@@ -113,7 +113,7 @@
 /// What happens to the leader.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// An unfinished job of the mirror.
+    /// An unfinished job of the cache.
     Job {
         spec: Arc<JobSpec>,
         submitted_at: Millis,
@@ -170,7 +170,7 @@
     List,
     /// Something waits to be written: ask [`Cluster::next_writes`].
     Save,
-    /// A higher token has been seen, or our workers hear us no more: leave office.
+    /// A higher token has been seen, or our workers hear us no more: stop leading.
     Resign(&'static str),
     /// For the log, once each.
     Note(String),
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -1,4 +1,4 @@
-//! The leader's picture of the cluster: an event goes in, a list of effects comes out.
+//! The cluster as its leader sees it: an event goes in, a list of effects comes out.
 //!
 //! What keeps the rules, in short (docs/design.md has the reasoning):
 //! - a task has one place at a time, and keeps it until its machine reports the attempt ended,
@@ -147,7 +147,7 @@
 }
 
 impl Cluster {
-    /// A fresh leader's picture: `inherited` is the stored set of machines, `results` what is stored
+    /// What a new leader begins with: `inherited` is the stored set of machines, `results` what is stored
     /// of jobs that are open.
     pub fn new(
         policy: Policy,
--- a/crates/latchtrack-core/src/leader/saving.rs
+++ b/crates/latchtrack-core/src/leader/saving.rs
@@ -99,7 +99,7 @@
         let (mut late_fleet, mut late_results) = (Vec::new(), Vec::new());
         if let SaveOutcome::Conflict { jobs, fleet, results } = &outcome {
             for id in jobs {
-                // The mirror will say who closed it.
+                // The cache will say who closed it.
                 if let Some(job) = self.jobs.get_mut(id) {
                     job.conflict = true;
                 }
--- a/crates/latchtrack-core/tests/simulation/meetings.rs
+++ b/crates/latchtrack-core/tests/simulation/fault_interactions.rs
@@ -29,7 +29,7 @@
 #[test]
 fn cancelled_while_the_leader_is_refused_alone_before_a_long_outage() {
     // An outage before the leader's lease has run out, at its end, and after a second leader has won
-    // and, with luck, not read its picture yet.
+    // and, with luck, not read the stored state yet.
     for outage_after in [1_000, 2_000, 2_900, 3_100, 3_400, 4_500] {
         let plan = gap(700, outage_after);
         meets("gap", CROWDED, 0..6, &plan, &[("cancelled while running", 30)]);
--- a/crates/latchtrack-core/tests/simulation/main.rs
+++ b/crates/latchtrack-core/tests/simulation/main.rs
@@ -4,8 +4,8 @@
 //! against what really runs. Each guard is broken once on purpose, from outside the core, to show
 //! that the checks would tell.
 
+mod fault_interactions;
 mod gangs;
-mod meetings;
 mod world;
 
 use world::{Broken, Planned, Size, World, FLEET, LARGE, SMALL};
@@ -196,12 +196,12 @@
         // not know yet that it is none any more.
         let most = 2 * size.end / size.step;
         assert!(world.rounds < most, "{} rounds, {most} at most", world.rounds);
-        // The picture holds what is there: machines of at most eight CPUs with the runs on them and
+        // The leader knows what is there: machines of at most eight CPUs with the runs on them and
         // a few that have ended, and the open jobs.
         let most = 12 * world.most_up;
         assert!(world.most_runs < most, "{} runs, {most} at most", world.most_runs);
         let (jobs, open) = world.most_jobs;
-        assert!(jobs <= open + 50, "{jobs} jobs in the picture, {open} open");
+        assert!(jobs <= open + 50, "{jobs} jobs known to the leader, {open} open");
     }
     assert!(terms > 5, "{terms} terms");
 }
--- a/crates/latchtrack-core/tests/simulation/world/mod.rs
+++ b/crates/latchtrack-core/tests/simulation/world/mod.rs
@@ -155,7 +155,7 @@
     NoSettling,
     /// A machine counts as gone though its delete was not answered.
     SilenceIsDeath,
-    /// A leader acts though its lease has run out and its mirror is old.
+    /// A leader acts though its lease has run out and its cache is old.
     NoLease,
     /// Machines are taken for stored that are not.
     NotStored,
@@ -390,7 +390,7 @@
     pub failures: u64,
     pub most_up: usize,
     pub rounds: u64,
-    /// Most runs and jobs in a leader's picture, and most open jobs at that time.
+    /// Most runs and jobs known to a leader, and most open jobs at that time.
     pub most_runs: usize,
     pub most_jobs: (usize, usize),
     size: Size,
--- a/crates/latchtrack-core/tests/simulation/world/nodes.rs
+++ b/crates/latchtrack-core/tests/simulation/world/nodes.rs
@@ -146,7 +146,7 @@
         node.saving = false;
     }
 
-    /// The mirror takes in the job records.
+    /// The cache takes in the job records.
     pub(super) fn read_jobs(&mut self, n: usize) {
         let seen = self.nodes[n].seen_stamp;
         let mut events = Vec::new();
--- a/crates/latchtrack/src/actors/cloud.rs
+++ b/crates/latchtrack/src/actors/cloud.rs
@@ -9,7 +9,7 @@
 use latchtrack_core::placement::Offer;
 
 use super::intake::{Intake, Types};
-use super::leader::{Came, Leader, Office};
+use super::leader::{Came, Leader, LeaderTerm, Leadership};
 use super::store::{self, Answered, Ask, Class, Reply, Store};
 use crate::clock::now_ms;
 use crate::constants::*;
@@ -21,7 +21,7 @@
 /// Something to do at the cloud, in the term of a token.
 #[derive(Message, Debug)]
 #[rtype(result = "()")]
-pub enum Errand {
+pub enum CloudRequest {
     Hire {
         token: u64,
         hire: String,
@@ -59,12 +59,12 @@
     rate: f64,
     budget: f64,
     filled_at: u64,
-    queue: VecDeque<Errand>,
+    queue: VecDeque<CloudRequest>,
     waking: bool,
     customers: Option<Customers>,
     typed: bool,
     /// The leader's term and until when it surely stands, as the leader has it.
-    office: Option<(u64, u64)>,
+    term: Option<LeaderTerm>,
 }
 
 impl Cloud {
@@ -81,7 +81,7 @@
             waking: false,
             customers: None,
             typed: false,
-            office: None,
+            term: None,
         }
     }
 
@@ -92,10 +92,10 @@
         self.budget = (self.budget + gone * self.rate).min((1.5 * self.rate).max(1.0));
         self.filled_at = now;
         while self.budget >= 1.0 {
-            let Some(errand) = self.queue.pop_front() else { return };
-            let Some(errand) = self.still_good(errand, now, ctx) else { continue };
+            let Some(request) = self.queue.pop_front() else { return };
+            let Some(request) = self.still_good(request, now, ctx) else { continue };
             self.budget -= 1.0;
-            self.run(errand, ctx);
+            self.run(request, ctx);
         }
         if !self.queue.is_empty() && !self.waking {
             self.waking = true;
@@ -107,25 +107,30 @@
         }
     }
 
-    /// An errand that waited is carried out only while the term that sent it stands: a node that
+    /// A request that waited is carried out only while the term that sent it stands: a node that
     /// stood still would return machines that its successor uses. None if it was answered for.
-    fn still_good(&self, errand: Errand, now: u64, ctx: &mut Context<Self>) -> Option<Errand> {
-        let of = match &errand {
-            Errand::Types => return Some(errand),
-            Errand::Hire { token, .. }
-            | Errand::Return { token, .. }
-            | Errand::List { token }
-            | Errand::Page { token, .. } => *token,
+    fn still_good(
+        &self,
+        request: CloudRequest,
+        now: u64,
+        ctx: &mut Context<Self>,
+    ) -> Option<CloudRequest> {
+        let of = match &request {
+            CloudRequest::Types => return Some(request),
+            CloudRequest::Hire { token, .. }
+            | CloudRequest::Return { token, .. }
+            | CloudRequest::List { token }
+            | CloudRequest::Page { token, .. } => *token,
         };
-        if self.office.is_some_and(|(token, until)| token == of && now < until) {
-            return Some(errand);
+        if self.term.is_some_and(|term| term.token == of && now < term.valid_until) {
+            return Some(request);
         }
-        match errand {
-            Errand::Hire { token, hire, .. } => {
+        match request {
+            CloudRequest::Hire { token, hire, .. } => {
                 let outcome = HireOutcome::NotDone;
                 self.tell(token, Event::Hired { hire, outcome }, CLOUD_RETRY_MS, ctx);
             }
-            Errand::Return { token, names } => {
+            CloudRequest::Return { token, names } => {
                 self.tell(token, Event::Returned { names, ok: false }, CLOUD_RETRY_MS, ctx);
             }
             // The leader asks for a list again by itself.
@@ -134,11 +139,11 @@
         None
     }
 
-    fn run(&mut self, errand: Errand, ctx: &mut Context<Self>) {
+    fn run(&mut self, request: CloudRequest, ctx: &mut Context<Self>) {
         let client = self.client.clone();
         let base = self.base.clone();
-        match errand {
-            Errand::Types => {
+        match request {
+            CloudRequest::Types => {
                 let work = async move { types(&client, &base).await };
                 ctx.spawn(work.into_actor(self).map(|types, act, ctx| {
                     let wait = match types {
@@ -150,12 +155,12 @@
                         None => CLOUD_RETRY_MS,
                     };
                     ctx.run_later(Duration::from_millis(wait), |act, ctx| {
-                        act.queue.push_back(Errand::Types);
+                        act.queue.push_back(CloudRequest::Types);
                         act.pump(ctx);
                     });
                 }));
             }
-            Errand::Hire { token, hire, offer, number } => {
+            CloudRequest::Hire { token, hire, offer, number } => {
                 let work = async move {
                     let outcome = rent(&client, &base, &hire, &offer, number).await;
                     (hire, outcome)
@@ -168,7 +173,7 @@
                     act.tell(token, Event::Hired { hire, outcome }, wait, ctx);
                 }));
             }
-            Errand::Return { token, names } => {
+            CloudRequest::Return { token, names } => {
                 let work = async move {
                     let ok = delete(&client, &base, &names).await;
                     (names, ok)
@@ -178,13 +183,15 @@
                     act.tell(token, Event::Returned { names, ok }, wait, ctx);
                 }));
             }
-            Errand::List { token } => self.run(Errand::Page { token, listed: Vec::new() }, ctx),
-            Errand::Page { token, listed } => {
+            CloudRequest::List { token } => {
+                self.run(CloudRequest::Page { token, listed: Vec::new() }, ctx)
+            }
+            CloudRequest::Page { token, listed } => {
                 let work = async move { page(&client, &base, listed).await };
                 ctx.spawn(work.into_actor(self).map(move |answer, act, ctx| match answer {
                     // Each page is a call that has its turn.
                     Some((listed, true)) => {
-                        act.queue.push_front(Errand::Page { token, listed });
+                        act.queue.push_front(CloudRequest::Page { token, listed });
                         act.pump(ctx);
                     }
                     Some((listed, false)) => act.tell(token, Event::Listed(listed), 0, ctx),
@@ -312,7 +319,7 @@
     type Result = ();
     fn handle(&mut self, msg: Customers, ctx: &mut Self::Context) {
         self.customers = Some(msg);
-        ctx.address().do_send(Errand::Types);
+        ctx.address().do_send(CloudRequest::Types);
         // While the cloud can't be asked, what it last told a leader will do: without the types no
         // node takes a job and nobody can lead.
         let store = self.store.clone();
@@ -334,21 +341,21 @@
     }
 }
 
-impl Handler<Office> for Cloud {
+impl Handler<Leadership> for Cloud {
     type Result = ();
-    fn handle(&mut self, msg: Office, _: &mut Self::Context) {
-        self.office = msg.0;
+    fn handle(&mut self, msg: Leadership, _: &mut Self::Context) {
+        self.term = msg.0;
     }
 }
 
-impl Handler<Errand> for Cloud {
+impl Handler<CloudRequest> for Cloud {
     type Result = ();
-    fn handle(&mut self, msg: Errand, ctx: &mut Self::Context) {
+    fn handle(&mut self, msg: CloudRequest, ctx: &mut Self::Context) {
         match msg {
-            Errand::Return { token, mut names } => {
+            CloudRequest::Return { token, mut names } => {
                 // Deletes that wait for their turn go in one call.
                 let waiting = self.queue.iter_mut().find_map(|e| match e {
-                    Errand::Return { token: t, names: n }
+                    CloudRequest::Return { token: t, names: n }
                         if *t == token && n.len() + names.len() <= DELETE_MOST =>
                     {
                         Some(n)
@@ -360,16 +367,18 @@
                     None => {
                         for part in names.chunks(DELETE_MOST) {
                             let names = part.to_vec();
-                            self.queue.push_back(Errand::Return { token, names });
+                            self.queue.push_back(CloudRequest::Return { token, names });
                         }
                     }
                 }
             }
             // One list tells all who want one.
-            Errand::List { token } => {
-                let lists = |e: &Errand| matches!(e, Errand::List { .. } | Errand::Page { .. });
+            CloudRequest::List { token } => {
+                let lists = |e: &CloudRequest| {
+                    matches!(e, CloudRequest::List { .. } | CloudRequest::Page { .. })
+                };
                 self.queue.retain(|e| !lists(e));
-                self.queue.push_back(Errand::List { token });
+                self.queue.push_back(CloudRequest::List { token });
             }
             other => self.queue.push_back(other),
         }
--- a/crates/latchtrack/src/actors/election.rs
+++ b/crates/latchtrack/src/actors/election.rs
@@ -6,19 +6,19 @@
 use rand::Rng;
 
 use super::job_cache::{JobCache, Leading};
-use super::leader::{Leader, Office};
+use super::leader::{Leader, LeaderTerm, Leadership};
 use super::store::{self, Ask, Class, Reply, Store, StoreError};
 use crate::clock::now_ms;
 use crate::constants::*;
 use crate::wire::records::{LeaderRecord, LEADER};
 use crate::wire::store::{Change, Condition, Txn};
 
-/// The leader key as the mirror has it, with its stamp.
+/// The leader key as the cache has it, with its stamp.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct LeaderSeen(pub Option<(LeaderRecord, u64)>);
 
-/// Leave office, and leave it to others for a while.
+/// Stop leading, and leave it to others for a while.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct Resign(pub &'static str);
@@ -93,7 +93,7 @@
             return;
         }
         match &self.seen {
-            // The mirror has not been read.
+            // The cache has not been filled.
             None => {}
             Some(None) => {
                 if now_ms() < self.not_before {
@@ -162,10 +162,10 @@
         ctx.spawn(work.into_actor(self).map(|result, act, ctx| {
             act.busy = false;
             match result {
-                Campaign::Won(term) => act.take_office(term, ctx),
+                Campaign::Won(term) => act.begin_term(term, ctx),
                 Campaign::Lost | Campaign::Failed => act.later(ELECTION_RETRY_MS, ctx),
                 Campaign::Unknown(lease) => {
-                    // Never guessed: if the key comes, the mirror shows it.
+                    // Never guessed: if the key comes, the cache shows it.
                     act.candidate = Some(lease);
                     act.later(ELECTION_RETRY_MS, ctx);
                 }
@@ -184,7 +184,7 @@
             match result {
                 Ok(a) => {
                     let valid_until = Self::valid_until(act.ttl_ms, a.sent_at);
-                    act.take_office(Term { token, lease, valid_until }, ctx);
+                    act.begin_term(Term { token, lease, valid_until }, ctx);
                 }
                 Err(StoreError::NotFound) => {
                     act.candidate = None;
@@ -195,7 +195,7 @@
         }));
     }
 
-    fn take_office(&mut self, term: Term, ctx: &mut Context<Self>) {
+    fn begin_term(&mut self, term: Term, ctx: &mut Context<Self>) {
         tracing::info!("leading with token {}", term.token);
         self.candidate = None;
         self.term = Some(term);
@@ -205,7 +205,8 @@
     }
 
     fn tell(&self) {
-        self.leader.do_send(Office(self.term.map(|t| (t.token, t.valid_until))));
+        let term = self.term.map(|t| LeaderTerm { token: t.token, valid_until: t.valid_until });
+        self.leader.do_send(Leadership(term));
     }
 
     fn renew_later(&self, ms: u64, ctx: &mut Context<Self>) {
@@ -242,7 +243,7 @@
         tracing::info!("no longer leading with token {}: {why}", term.token);
         self.tell();
         self.cache.do_send(Leading(false));
-        // The key goes with the lease; without waiting for the mirror to say so, nobody campaigns.
+        // The key goes with the lease; without waiting for the cache to say so, nobody campaigns.
         self.end(term.lease, ctx);
     }
 }
--- a/crates/latchtrack/src/actors/intake.rs
+++ b/crates/latchtrack/src/actors/intake.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Submitted {
     Created,
-    /// The id exists; the mirror knows its state after a look.
+    /// The id exists; the cache knows its state after a look.
     Exists,
     /// Can never run.
     Impossible(String),
--- a/crates/latchtrack/src/actors/job_cache.rs
+++ b/crates/latchtrack/src/actors/job_cache.rs
@@ -1,4 +1,4 @@
-//! The mirror of the job records and of the leader key. Final states are answered from it; for
+//! The local cache of the job records and of the leader key. Final states are answered from it; for
 //! any other answer it first looks at the state service, one look for all who wait.
 
 use std::collections::{HashMap, HashSet};
@@ -21,7 +21,7 @@
 #[error("the state service can't be asked")]
 pub struct Stale;
 
-/// A job as the mirror has it.
+/// A job as the cache has it.
 #[derive(Debug, Clone)]
 pub struct View {
     pub record: Record,
@@ -73,7 +73,7 @@
 #[rtype(result = "Result<Inheritance, Stale>")]
 pub struct OpenJobs;
 
-/// Whether the mirror has been read.
+/// Whether the cache has been filled.
 #[derive(Message)]
 #[rtype(result = "bool")]
 pub struct Loaded;
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -1,4 +1,4 @@
-//! Drives the core while this node is in office: events in, effects out.
+//! Drives the core while this node leads: events in, effects out.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,36 +12,45 @@
 };
 use latchtrack_core::machine::{Command, MachineType, Report};
 
-use super::cloud::{Cloud, Errand};
+use super::cloud::{Cloud, CloudRequest};
 use super::election::{Deposed, Election, Resign};
 use super::intake::Types;
 use super::job_cache::{Counts, JobCache, Learn};
 use super::peers::{Peers, Tell};
 use super::store::{self, Ask, Class, Reply, Store, StoreError};
-use super::stored::{conflict, read_picture, transaction, StoredPicture};
+use super::stored::{conflict, read_stored_state, transaction, StoredState};
 use crate::clock::{self, now_ms};
 use crate::constants::*;
 use crate::net::{finish, http_client, CallError};
 use crate::settings::Settings;
 use crate::wire::peers::Frame;
 use crate::wire::records::{types as types_record, *};
-use crate::wire::status::{NodeView, Picture};
+use crate::wire::status::{ClusterView, NodeView};
 use crate::wire::store::{Change, Condition, Txn};
 use crate::wire::workers::{parse_report, Call, CommandDto};
 
-/// The token of this node's term and until when it surely stands; None out of office.
+/// A term of this node as the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaderTerm {
+    /// The revision of the leader key, which fences every write and every command.
+    pub token: u64,
+    /// Until when the lease surely stands, on the steady clock.
+    pub valid_until: u64,
+}
+
+/// Whether this node leads, and in which term.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct Office(pub Option<(u64, u64)>);
+pub struct Leadership(pub Option<LeaderTerm>);
 
-/// A job record of the mirror.
+/// A job record of the cache.
 #[derive(Debug, Clone)]
 pub enum JobChange {
     Open(Arc<JobSpec>, u64, u64),
     Closed(JobId),
 }
 
-/// The mirror has taken in a look that was sent at `sent_at` (0: a write of our own).
+/// The cache has taken in a look that was sent at `sent_at` (0: a write of our own).
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct Advanced {
@@ -88,7 +97,7 @@
     NotNow,
 }
 
-/// What came of an errand to the cloud, in the term of this token.
+/// What came of a request to the cloud, in the term of this token.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct Came {
@@ -111,10 +120,10 @@
     types: Vec<MachineType>,
     /// The types as this node knows them to be stored.
     stored_types: Vec<MachineType>,
-    office: Option<(u64, u64)>,
+    term: Option<LeaderTerm>,
     cluster: Option<Cluster>,
     building: bool,
-    /// Changes of the mirror that came while the picture was being read.
+    /// Changes of the cache that came while the stored state was being read.
     meanwhile: Vec<JobChange>,
     fresh_at: u64,
     leader_name: Option<String>,
@@ -152,7 +161,7 @@
             ttl_ms: settings.leader_ttl_ms(),
             types: Vec::new(),
             stored_types: Vec::new(),
-            office: None,
+            term: None,
             cluster: None,
             building: false,
             meanwhile: Vec::new(),
@@ -165,12 +174,12 @@
         }
     }
 
-    /// Whether commands may be given now: in office by the local clock, and with a view of the
+    /// Whether commands may be given now: leading by the local clock, and with a view of the
     /// jobs that is not older than the lease, so that cancellations are seen in time.
     fn may_act(&self) -> bool {
         let now = now_ms();
         self.cluster.is_some()
-            && self.office.is_some_and(|(_, until)| now < until)
+            && self.term.is_some_and(|term| now < term.valid_until)
             && now < self.fresh_at + self.ttl_ms
     }
 
@@ -191,7 +200,7 @@
     }
 
     fn token(&self) -> u64 {
-        self.office.map_or(0, |(token, _)| token)
+        self.term.map_or(0, |term| term.token)
     }
 
     /// Hands an event to the core and carries out what it wants; returns a report's answer.
@@ -220,12 +229,12 @@
                     self.call(machine, addr, session, call, &commands, ctx);
                 }
                 Effect::Hire { hire, offer, number } => {
-                    self.cloud.do_send(Errand::Hire { token, hire, offer, number });
+                    self.cloud.do_send(CloudRequest::Hire { token, hire, offer, number });
                 }
                 Effect::Return(names) => {
-                    self.cloud.do_send(Errand::Return { token, names });
+                    self.cloud.do_send(CloudRequest::Return { token, names });
                 }
-                Effect::List => self.cloud.do_send(Errand::List { token }),
+                Effect::List => self.cloud.do_send(CloudRequest::List { token }),
                 Effect::Save => self.save(ctx),
                 Effect::Resign(why) => {
                     if let Some(e) = &self.election {
@@ -358,48 +367,48 @@
         }));
     }
 
-    /// Reads the picture that the stored state gives.
+    /// Reads the stored state from which the term begins.
     fn build(&mut self, ctx: &mut Context<Self>) {
         if self.building || self.types.is_empty() || self.cluster.is_some() {
             return;
         }
-        let Some((token, _)) = self.office else { return };
+        let Some(LeaderTerm { token, .. }) = self.term else { return };
         self.building = true;
         self.meanwhile.clear();
         let (store, cache) = (self.store.clone(), self.cache.clone());
-        let work = async move { read_picture(&store, &cache).await };
-        ctx.spawn(work.into_actor(self).map(move |picture, act, ctx| {
+        let work = async move { read_stored_state(&store, &cache).await };
+        ctx.spawn(work.into_actor(self).map(move |stored, act, ctx| {
             act.building = false;
             if act.token() != token {
                 act.build(ctx);
                 return;
             }
-            let Some(picture) = picture else {
+            let Some(stored) = stored else {
                 ctx.run_later(Duration::from_millis(SYNC_RETRY_MS), |act, ctx| act.build(ctx));
                 return;
             };
-            act.start_term(token, picture, ctx);
+            act.start_term(token, stored, ctx);
         }));
     }
 
-    fn start_term(&mut self, token: u64, picture: StoredPicture, ctx: &mut Context<Self>) {
+    fn start_term(&mut self, token: u64, stored: StoredState, ctx: &mut Context<Self>) {
         let now = now_ms();
         tracing::info!(
-            "picture read: {} jobs open, {} machines to settle",
-            picture.jobs.len(),
-            picture.fleet.iter().flat_map(|f| &f.machines).map(Vec::len).sum::<usize>()
+            "stored state read: {} jobs open, {} machines to settle",
+            stored.jobs.len(),
+            stored.fleet.iter().flat_map(|f| &f.machines).map(Vec::len).sum::<usize>()
         );
         let mut results: HashMap<JobId, Vec<(u32, Vec<u8>)>> = HashMap::new();
-        for (id, chunk, bytes) in picture.results.iter().flat_map(|r| &r.chunks) {
+        for (id, chunk, bytes) in stored.results.iter().flat_map(|r| &r.chunks) {
             results.entry(*id).or_default().push((*chunk, bytes.clone()));
         }
         let (policy, types) = (self.policy.clone(), self.types.clone());
-        let (fleet, kept) = (picture.fleet, picture.results);
+        let (fleet, kept) = (stored.fleet, stored.results);
         // The last time before this term that nobody led.
-        let vacant = picture.vacant.filter(|stamp| *stamp < token).unwrap_or(token);
+        let vacant = stored.vacant.filter(|stamp| *stamp < token).unwrap_or(token);
         let stamps = Stamps { token, vacant };
         self.cluster = Some(Cluster::new(policy, stamps, types, fleet, kept, now));
-        for (spec, at_ms, stamp) in picture.jobs {
+        for (spec, at_ms, stamp) in stored.jobs {
             let mut done = None;
             for (chunk, bytes) in results.remove(&spec.id).unwrap_or_default() {
                 done.get_or_insert_with(|| Bitmap::new(spec.tasks)).merge_chunk(chunk, &bytes);
@@ -492,16 +501,16 @@
     }
 }
 
-impl Handler<Office> for Leader {
+impl Handler<Leadership> for Leader {
     type Result = ();
-    fn handle(&mut self, msg: Office, ctx: &mut Self::Context) {
-        if self.office.map(|o| o.0) != msg.0.map(|o| o.0) {
+    fn handle(&mut self, msg: Leadership, ctx: &mut Self::Context) {
+        if self.term.map(|term| term.token) != msg.0.map(|term| term.token) {
             // Another term: everything is rebuilt.
             self.cluster = None;
             self.want_save = false;
         }
-        self.office = msg.0;
-        self.cloud.do_send(Office(msg.0));
+        self.term = msg.0;
+        self.cloud.do_send(Leadership(msg.0));
         self.build(ctx);
     }
 }
@@ -541,7 +550,7 @@
 impl Handler<WorkerReport> for Leader {
     type Result = Answer;
     fn handle(&mut self, msg: WorkerReport, ctx: &mut Self::Context) -> Answer {
-        if self.office.is_none() {
+        if self.term.is_none() {
             let other = self.leader_name.clone().filter(|n| *n != self.node);
             return match other {
                 Some(leader) if self.comes_back(&msg.report.machine) => Answer::Relay(leader),
@@ -575,9 +584,9 @@
 impl Handler<Inspect> for Leader {
     type Result = View;
     fn handle(&mut self, msg: Inspect, _: &mut Self::Context) -> View {
-        let picture = self.cluster.as_ref().filter(|_| self.office.is_some()).map(|c| {
+        let cluster = self.cluster.as_ref().filter(|_| self.term.is_some()).map(|c| {
             let s = c.summary(now_ms());
-            Picture {
+            ClusterView {
                 token: c.token(),
                 acting: self.may_act(),
                 machines_up: s.up,
@@ -594,7 +603,7 @@
                 cpus_running: s.cpus_running,
             }
         });
-        View(NodeView { served: msg.served, leader: self.leader_name.clone(), picture })
+        View(NodeView { served: msg.served, leader: self.leader_name.clone(), cluster })
     }
 }
 
--- a/crates/latchtrack/src/actors/peers.rs
+++ b/crates/latchtrack/src/actors/peers.rs
@@ -16,7 +16,7 @@
 use super::leader::{Leader, Overdue};
 use crate::clock::now_ms;
 use crate::constants::*;
-use crate::http::{answer_passed_on, Desk};
+use crate::http::{answer_passed_on, AppState};
 use crate::settings::Settings;
 use crate::wire::peers::{decode, encode, Answer, Ask, Frame};
 
@@ -42,7 +42,7 @@
 /// Who answers what other nodes pass on.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct Receive(pub Desk);
+pub struct Receive(pub AppState);
 
 /// A frame that came from a node.
 #[derive(Message)]
@@ -160,7 +160,7 @@
 
 /// Serves the connection of another node. Requests are answered side by side, as many as the queue
 /// of answers holds; more are dropped, and their sender answers for itself.
-async fn listen(stream: TcpStream, peers: Addr<Peers>, cache: Addr<JobCache>, desk: Desk) {
+async fn listen(stream: TcpStream, peers: Addr<Peers>, cache: Addr<JobCache>, app: AppState) {
     let mut wire = framed(stream);
     let (answers, mut ready) = mpsc::channel(PEER_QUEUE);
     let idle = Duration::from_secs(KEEP_ALIVE_S);
@@ -179,9 +179,9 @@
         match decode(&bytes) {
             Some(Frame::Ask { id, ask }) => {
                 if let Ok(place) = answers.clone().try_reserve_owned() {
-                    let desk = desk.clone();
+                    let app = app.clone();
                     actix_rt::spawn(async move {
-                        let answer = answer_passed_on(&desk, ask).await;
+                        let answer = answer_passed_on(&app, ask).await;
                         place.send(Frame::Answer { id, answer });
                     });
                 }
--- a/crates/latchtrack/src/actors/stored.rs
+++ b/crates/latchtrack/src/actors/stored.rs
@@ -13,7 +13,7 @@
 use crate::wire::store::{Change, Condition, Txn};
 
 /// All that a new leader reads.
-pub struct StoredPicture {
+pub struct StoredState {
     pub jobs: Vec<OpenJob>,
     pub vacant: Option<u64>,
     pub fleet: Vec<StoredFleet>,
@@ -78,7 +78,7 @@
 
 /// Reads open jobs, results and machine set; None if the state service can't be asked. All of it
 /// is as new as this term, since an earlier leader's writes are fenced.
-pub async fn read_picture(store: &Addr<Store>, cache: &Addr<JobCache>) -> Option<StoredPicture> {
+pub async fn read_stored_state(store: &Addr<Store>, cache: &Addr<JobCache>) -> Option<StoredState> {
     let (stored, _) = store::read_all(store, FLEET).await.ok()?;
     let (chunks, _) = store::read_all(store, RESULTS).await.ok()?;
     let Inheritance { jobs, vacant } = cache.send(OpenJobs).await.ok()?.ok()?;
@@ -102,7 +102,7 @@
         chunks.retain(|(id, ..)| open.contains(id));
         results.push(StoredResults { name: name.to_string(), stamp: item.version, chunks });
     }
-    Some(StoredPicture { jobs, vacant, fleet, results })
+    Some(StoredState { jobs, vacant, fleet, results })
 }
 
 #[cfg(test)]
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -21,13 +21,13 @@
 /// a restart of all nodes one by one, those that have been up for long are the next to go.
 pub const YOUNG_MS: u64 = 90_000;
 pub const YOUNG_FIRST_MS: u64 = 300;
-/// ms a node that resigned leaves the office to others.
+/// ms a node that resigned leaves leading to others.
 pub const RESIGNED_MS: u64 = 20_000;
 
 /// ms between two looks at the state service while leading: a submission waits this long at most
 /// before it is placed.
 pub const SYNC_LEADING_MS: u64 = 100;
-/// ms between two looks while following: the leader key is in the mirror too.
+/// ms between two looks while following: the leader key is in the cache too.
 pub const SYNC_FOLLOWING_MS: u64 = 250;
 /// ms between two looks that polls wait for.
 pub const SYNC_WANTED_MS: u64 = 40;
--- a/crates/latchtrack/src/http/mod.rs
+++ b/crates/latchtrack/src/http/mod.rs
@@ -1,4 +1,4 @@
-//! The HTTP faces: users and workers speak to the same port.
+//! The HTTP interface: users and workers speak to the same port.
 
 pub mod server;
 pub mod users;
@@ -21,7 +21,7 @@
 
 /// Whom the handlers speak to.
 #[derive(Clone)]
-pub struct Desk {
+pub struct AppState {
     pub cache: Addr<JobCache>,
     pub intake: Addr<Intake>,
     pub leader: Addr<Leader>,
@@ -77,8 +77,8 @@
 }
 
 /// Has another node answer; None if none does.
-async fn pass_on(desk: &Desk, to: Option<String>, ask: Ask) -> Option<HttpResponse> {
-    let answer = desk.peers.send(PassOn { to, ask }).await.ok()??;
+async fn pass_on(app: &AppState, to: Option<String>, ask: Ask) -> Option<HttpResponse> {
+    let answer = app.peers.send(PassOn { to, ask }).await.ok()??;
     let mut response = HttpResponse::build(StatusCode::from_u16(answer.status).ok()?);
     if let Some(s) = answer.retry_after {
         response.insert_header((RETRY_AFTER, s.to_string()));
@@ -87,20 +87,20 @@
 }
 
 /// What this node sees, for an operator.
-async fn status(desk: &Desk) -> HttpResponse {
-    let served = users::served(desk).await;
-    match desk.leader.send(Inspect { served }).await {
+async fn status(app: &AppState) -> HttpResponse {
+    let served = users::served(app).await;
+    match app.leader.send(Inspect { served }).await {
         Ok(view) => HttpResponse::Ok().json(view.0),
         Err(_) => later("too busy to tell"),
     }
 }
 
 /// Answers what another node has passed on; never passes it on again.
-pub async fn answer_passed_on(desk: &Desk, ask: Ask) -> Answer {
+pub async fn answer_passed_on(app: &AppState, ask: Ask) -> Answer {
     let response = match ask {
-        Ask::Report(bytes) => workers::answer_here(desk, &bytes).await,
-        Ask::Status => status(desk).await,
-        ask => users::answer_here(desk, ask).await,
+        Ask::Report(bytes) => workers::answer_here(app, &bytes).await,
+        Ask::Status => status(app).await,
+        ask => users::answer_here(app, ask).await,
     };
     let status = response.status().as_u16();
     let header = response.headers().get(RETRY_AFTER).and_then(|v| v.to_str().ok());
--- a/crates/latchtrack/src/http/server.rs
+++ b/crates/latchtrack/src/http/server.rs
@@ -12,15 +12,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-use super::{routes, Desk};
+use super::{routes, AppState};
 use crate::constants::{
     KEEP_ALIVE_S, REFUSALS_OPEN, REFUSAL_LINGER, REFUSAL_TIMEOUT, RETRY_AFTER_S,
 };
 
 /// Accepts until the process ends. Beyond the bound a connection is told so at once and closed: left
 /// to wait for a place, which nobody may leave, users and workers would learn nothing.
-pub async fn serve(listener: TcpListener, desk: Desk, most: usize) {
-    let app = App::new().app_data(web::Data::new(desk)).configure(routes);
+pub async fn serve(listener: TcpListener, app: AppState, most: usize) {
+    let app = App::new().app_data(web::Data::new(app)).configure(routes);
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(Duration::from_secs(KEEP_ALIVE_S)))
         .client_request_timeout(Duration::from_secs(5))
--- a/crates/latchtrack/src/http/workers.rs
+++ b/crates/latchtrack/src/http/workers.rs
@@ -3,38 +3,38 @@
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 
-use super::{body, later, pass_on, refuse, Desk};
+use super::{body, later, pass_on, refuse, AppState};
 use crate::actors::leader::{Answer, WorkerReport};
 use crate::wire::peers::Ask;
 use crate::wire::workers::{parse_report, CommandDto, Elsewhere, Orders};
 
-pub async fn report(desk: web::Data<Desk>, payload: web::Payload) -> HttpResponse {
+pub async fn report(app: web::Data<AppState>, payload: web::Payload) -> HttpResponse {
     let bytes = match body(payload).await {
         Ok(b) => b,
         Err(answer) => return answer,
     };
-    let answer = judge(&desk, &bytes, false).await;
+    let answer = judge(&app, &bytes, false).await;
     // A worker that was sent to the leader and is back can't reach it: its report is passed on, and
     // an answer with the leader's token counts from any node.
     if let Ok(Answer::Relay(leader)) = &answer {
-        let passed = pass_on(&desk, Some(leader.clone()), Ask::Report(bytes)).await;
+        let passed = pass_on(&app, Some(leader.clone()), Ask::Report(bytes)).await;
         return passed.unwrap_or_else(|| elsewhere(None));
     }
     say(answer)
 }
 
 /// Answers at this node only what another has passed on.
-pub async fn answer_here(desk: &Desk, bytes: &[u8]) -> HttpResponse {
-    say(judge(desk, bytes, true).await)
+pub async fn answer_here(app: &AppState, bytes: &[u8]) -> HttpResponse {
+    say(judge(app, bytes, true).await)
 }
 
 /// What the leader says to a report, or the refusal of one that is of no use.
-async fn judge(desk: &Desk, bytes: &[u8], relayed: bool) -> Result<Answer, HttpResponse> {
+async fn judge(app: &AppState, bytes: &[u8], relayed: bool) -> Result<Answer, HttpResponse> {
     let report = parse_report(bytes).map_err(|e| {
         tracing::debug!("a report is of no use: {e}");
         refuse(StatusCode::BAD_REQUEST, &e.to_string())
     })?;
-    Ok(desk.leader.send(WorkerReport { report, relayed }).await.unwrap_or(Answer::NotNow))
+    Ok(app.leader.send(WorkerReport { report, relayed }).await.unwrap_or(Answer::NotNow))
 }
 
 fn say(answer: Result<Answer, HttpResponse>) -> HttpResponse {
--- a/crates/latchtrack/src/node.rs
+++ b/crates/latchtrack/src/node.rs
@@ -10,7 +10,7 @@
 use crate::actors::leader::{ElectionAt, Leader};
 use crate::actors::peers::{Peers, Receive};
 use crate::actors::store::Store;
-use crate::http::{server, Desk};
+use crate::http::{server, AppState};
 use crate::settings::Settings;
 
 /// Runs a node until the process ends.
@@ -43,7 +43,7 @@
     cache.do_send(Listeners { election, leader: leader.clone() });
     cloud.do_send(Customers { intake: intake.clone(), leader: leader.clone() });
     let alone = settings.platform.peers.is_empty();
-    let desk = Desk { cache, intake, leader, peers: peers.clone(), alone };
-    peers.do_send(Receive(desk.clone()));
-    server::serve(users, desk, settings.connections()).await;
+    let app = AppState { cache, intake, leader, peers: peers.clone(), alone };
+    peers.do_send(Receive(app.clone()));
+    server::serve(users, app, settings.connections()).await;
 }
--- a/crates/latchtrack/src/status.rs
+++ b/crates/latchtrack/src/status.rs
@@ -62,7 +62,7 @@
         let view = answer.and_then(|a| serde_json::from_slice::<NodeView>(&a.body).ok());
         nodes.insert(name, view);
     }
-    let led = nodes.values().flatten().any(|n| n.picture.is_some());
+    let led = nodes.values().flatten().any(|n| n.cluster.is_some());
     let (mut without_leader, mut trouble) = (None, None);
     if !led {
         match stored(settings).await {
--- a/crates/latchtrack/src/wire/records.rs
+++ b/crates/latchtrack/src/wire/records.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-/// The mirror's prefix: the leader key and the job records.
+/// The cache's prefix: the leader key and the job records.
 pub const LIVE: &str = "live/";
 /// The leader key.
 pub const LEADER: &str = "live/leader";
--- a/crates/latchtrack/src/wire/status.rs
+++ b/crates/latchtrack/src/wire/status.rs
@@ -9,15 +9,16 @@
     pub served: bool,
     /// Whom it holds to lead.
     pub leader: Option<String>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub picture: Option<Picture>,
+    /// The name on the wire is that of the first version, which nodes exchange during an upgrade.
+    #[serde(rename = "picture", skip_serializing_if = "Option::is_none")]
+    pub cluster: Option<ClusterView>,
 }
 
 /// The cluster as its leader sees it.
 #[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
-pub struct Picture {
+pub struct ClusterView {
     pub token: u64,
-    /// Whether it may act now: its lease is valid and its mirror new.
+    /// Whether it may act now: its lease is valid and its cache new.
     pub acting: bool,
     pub machines_up: usize,
     /// Rented and not up; of these, those that should be.
--- a/crates/latchtrack/tests/faces/answers.rs
+++ b/crates/latchtrack/tests/integration/answers.rs
@@ -184,7 +184,7 @@
         ms(300).await;
         site.refused[refused].store(false, Relaxed);
         ms(800).await;
-        // The office changes hands.
+        // Another node leads now.
         let lease = led(&site).and_then(|(.., lease)| lease);
         if let Some(lease) = lease {
             site.state.lock().unwrap().end(lease);
--- a/crates/latchtrack/tests/faces/main.rs
+++ b/crates/latchtrack/tests/integration/main.rs
@@ -1,4 +1,4 @@
-//! The faces that users and workers see, on loopback.
+//! What users and workers see, over real sockets on loopback.
 
 mod answers;
 mod gangs;
@@ -426,15 +426,15 @@
     assert_eq!(post(&format!("{two}/api/jobs"), &odd).await.0, 422, "it knows what fits");
 }
 
-/// Found in review: errands that waited for their turn at the cloud went out after a standstill, for
+/// Found in review: requests that waited for their turn at the cloud went out after a standstill, for
 /// a term that was over, and returned machines that the next leader used.
 #[actix_web::test]
-async fn errands_of_a_term_that_is_over_are_not_run() {
+async fn requests_of_a_term_that_is_over_are_not_run() {
     use actix::Actor;
-    use latchtrack::actors::cloud::{Cloud, Customers, Errand};
+    use latchtrack::actors::cloud::{Cloud, CloudRequest, Customers};
     use latchtrack::actors::intake::Intake;
     use latchtrack::actors::job_cache::JobCache;
-    use latchtrack::actors::leader::{Leader, Office};
+    use latchtrack::actors::leader::{Leader, LeaderTerm, Leadership};
     use latchtrack::actors::peers::Peers;
     use latchtrack::actors::store::Store;
     use latchtrack::clock::now_ms;
@@ -448,15 +448,16 @@
     let intake = Intake::new(store.clone(), cache.clone(), &settings).start();
     let leader = Leader::new(store, cache, cloud.clone(), peers, &settings).start();
     cloud.do_send(Customers { intake, leader });
-    let back = |token, name: &str| Errand::Return { token, names: vec![name.into()] };
+    let back = |token, name: &str| CloudRequest::Return { token, names: vec![name.into()] };
     let later = now_ms() + 600_000;
-    cloud.do_send(Office(Some((7, later))));
+    let term = |token, valid_until| Some(LeaderTerm { token, valid_until });
+    cloud.do_send(Leadership(term(7, later)));
     cloud.do_send(back(7, "n-000001"));
-    cloud.do_send(Office(Some((7, now_ms()))));
+    cloud.do_send(Leadership(term(7, now_ms())));
     cloud.do_send(back(7, "n-000002"));
-    cloud.do_send(Office(None));
+    cloud.do_send(Leadership(None));
     cloud.do_send(back(7, "n-000003"));
-    cloud.do_send(Office(Some((9, later))));
+    cloud.do_send(Leadership(term(9, later)));
     cloud.do_send(back(7, "n-000004"));
     cloud.do_send(back(9, "n-000005"));
     for _ in 0..600 {
@@ -490,16 +491,16 @@
     let mut seen = None;
     for _ in 0..200 {
         let status = latchtrack::status::ask(&settings).await;
-        seen = status.nodes["one"].clone().and_then(|n| n.picture.map(|p| (n.served, p)));
+        seen = status.nodes["one"].clone().and_then(|n| n.cluster.map(|p| (n.served, p)));
         if seen.as_ref().is_some_and(|(_, p)| p.jobs_open == 1 && p.machines_booting > 0) {
             assert!(status.without_leader.is_none());
             break;
         }
         actix_web::rt::time::sleep(std::time::Duration::from_millis(20)).await;
     }
-    let (served, picture) = seen.unwrap();
-    assert!(served && picture.acting && picture.jobs_in_doubt.is_empty());
-    assert_eq!((picture.jobs_open, picture.tasks_waiting), (1, 3));
+    let (served, cluster) = seen.unwrap();
+    assert!(served && cluster.acting && cluster.jobs_in_doubt.is_empty());
+    assert_eq!((cluster.jobs_open, cluster.tasks_waiting), (1, 3));
     // A worker of the stored set answers for itself when no node does.
     let site2 = self::site();
     let door = actix_web::HttpServer::new(|| {
--- a/crates/latchtrack/tests/published_formats.rs
+++ b/crates/latchtrack/tests/published_formats.rs
@@ -8,6 +8,7 @@
 
 use latchtrack::wire::peers::{decode, encode, Answer, Ask, Frame};
 use latchtrack::wire::records::*;
+use latchtrack::wire::status::NodeView;
 use latchtrack_core::bitmap::Bitmap;
 use latchtrack_core::constants::{ATTEMPT_BITS, CHUNK_TASKS};
 use latchtrack_core::job::{Demand, JobId, JobSpec, Priority};
@@ -170,3 +171,16 @@
 fn attempt_numbers_are_as_published() {
     assert_eq!(ATTEMPT_BITS, 24);
 }
+
+/// Nodes ask each other for this on behalf of `latchtrack status`.
+#[test]
+fn the_status_of_a_node_is_read_as_published() {
+    let published = r#"{"served":true,"leader":"n","picture":{"token":7,"acting":true,"machines_up":3,"machines_booting":2,"machines_late":1,"machines_unsettled":0,"late_boots":["g in a"],"quiet_zones":["b"],"jobs_open":4,"jobs_in_doubt":["req-000001"],"tasks_waiting":5,"cpus":24.0,"cpus_running":8.0}}"#;
+    let view: NodeView = serde_json::from_str(published).unwrap();
+    let cluster = view.cluster.clone().unwrap();
+    assert_eq!((view.served, cluster.jobs_open, cluster.cpus_running), (true, 4, 8.0));
+    assert_eq!(cluster.gangs_open, 0, "what the version in production says nothing of");
+    // What is written now has the same fields, and one that an earlier version ignores.
+    let written = serde_json::to_string(&view).unwrap();
+    assert_eq!(written.replace(",\"gangs_open\":0", ""), published);
+}
