--- a/crates/latchtrack/tests/integration/gangs.rs
+++ b/crates/latchtrack/tests/integration/gangs.rs
@@ -48,6 +48,17 @@
     assert_eq!(get(&format!("{jobs}/req-000004")).await.0, 404);
 }
 
+/// The workers of the machines that are rented, once there are so many.
+async fn rented(site: &Site, least: usize) -> Vec<Worker> {
+    loop {
+        let names = site.sky.lock().unwrap().rented.clone();
+        if names.len() >= least {
+            return names.iter().map(|name| Worker::new(name)).collect();
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Launches of a job in an answer: attempt numbers.
 fn launched(orders: &Value, id: &str) -> Vec<u64> {
     let of_job = |o: &&Value| {
@@ -67,13 +78,7 @@
     let id = "req-000001";
     assert_eq!(post(&jobs, &gang(id, 3)).await.0, 201);
     assert_eq!(post(&jobs, &gang(id, 3)).await.0, 200, "repeated");
-    let workers = loop {
-        let rented = site.sky.lock().unwrap().rented.clone();
-        if rented.len() >= 3 {
-            break rented.iter().map(|name| Worker::new(name)).collect::<Vec<_>>();
-        }
-        sleep(Duration::from_millis(20)).await;
-    };
+    let workers = rented(&site, 3).await;
     // Two of three machines are up: nothing starts.
     for _ in 0..20 {
         for worker in &workers[..2] {
@@ -114,13 +119,7 @@
     let jobs = format!("{node}/api/jobs");
     let id = "req-000001";
     assert_eq!(post(&jobs, &gang(id, 1)).await.0, 201);
-    let rented = loop {
-        if let Some(name) = site.sky.lock().unwrap().rented.first().cloned() {
-            break name;
-        }
-        sleep(Duration::from_millis(20)).await;
-    };
-    let worker = Worker::new(&rented);
+    let worker = rented(&site, 1).await.remove(0);
     let url = format!("{node}/v1/report");
     let (mut token, mut attempt) = (0, None);
     for _ in 0..200 {
