--- /dev/null
+++ b/crates/latchtrack-quota/src/amounts.rs
@@ -0,0 +1,115 @@
+//! Amounts in whole thousandths, so that sums over cells are exact.
+
+use serde::{Deserialize, Serialize};
+
+use crate::constants::{MILLI, ROUNDING};
+
+/// Thousandths of CPUs and GPUs.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(default)]
+pub struct Amounts {
+    /// Thousandths of a CPU.
+    pub millicpus: u64,
+    /// Thousandths of a GPU.
+    pub milligpus: u64,
+}
+
+impl Amounts {
+    /// Nothing.
+    pub const NONE: Amounts = Amounts { millicpus: 0, milligpus: 0 };
+
+    /// What tasks take, rounded up.
+    pub fn covering(cpus: f64, gpus: f64) -> Amounts {
+        Amounts { millicpus: round_up(cpus), milligpus: round_up(gpus) }
+    }
+
+    fn each(self, other: Amounts, f: impl Fn(u64, u64) -> u64) -> Amounts {
+        Amounts {
+            millicpus: f(self.millicpus, other.millicpus),
+            milligpus: f(self.milligpus, other.milligpus),
+        }
+    }
+
+    /// The sum of both.
+    pub fn plus(self, other: Amounts) -> Amounts {
+        self.each(other, u64::saturating_add)
+    }
+
+    /// What is left without `other`, never below 0.
+    pub fn minus(self, other: Amounts) -> Amounts {
+        self.each(other, u64::saturating_sub)
+    }
+
+    /// The smaller of both, of each resource.
+    pub fn least(self, other: Amounts) -> Amounts {
+        self.each(other, u64::min)
+    }
+
+    /// The larger of both, of each resource.
+    pub fn most(self, other: Amounts) -> Amounts {
+        self.each(other, u64::max)
+    }
+
+    /// One of so many equal parts, rounded down.
+    pub fn part(self, parts: u64) -> Amounts {
+        self.each(Amounts::NONE, |amount, _| amount / parts.max(1))
+    }
+
+    /// Whether all of this goes into `room`.
+    pub fn fits_in(self, room: Amounts) -> bool {
+        self.minus(room) == Amounts::NONE
+    }
+
+    /// CPUs and GPUs as decimal numbers.
+    pub fn decimal(self) -> (f64, f64) {
+        (self.millicpus as f64 / MILLI, self.milligpus as f64 / MILLI)
+    }
+}
+
+fn round_up(amount: f64) -> u64 {
+    (amount * MILLI - ROUNDING).ceil().max(0.0) as u64
+}
+
+fn round_down(amount: f64) -> u64 {
+    (amount * MILLI + ROUNDING).floor().max(0.0) as u64
+}
+
+/// A limit of each resource; None is no limit, and that resource is not counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Limit {
+    /// Thousandths of a CPU.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub millicpus: Option<u64>,
+    /// Thousandths of a GPU.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub milligpus: Option<u64>,
+}
+
+impl Limit {
+    /// A limit as settings have it, rounded down; 0 is none.
+    pub fn of(cpus: f64, gpus: f64) -> Limit {
+        let limit = |amount: f64| (amount > 0.0).then(|| round_down(amount));
+        Limit { millicpus: limit(cpus), milligpus: limit(gpus) }
+    }
+
+    /// Whether any resource has a limit.
+    pub fn is_set(&self) -> bool {
+        self.millicpus.is_some() || self.milligpus.is_some()
+    }
+
+    /// All that may be allotted; 0 of a resource without a limit.
+    pub fn total(&self) -> Amounts {
+        Amounts { millicpus: self.millicpus.unwrap_or(0), milligpus: self.milligpus.unwrap_or(0) }
+    }
+
+    /// An amount as it counts against this limit: nothing of a resource without one.
+    pub fn counted(&self, amounts: Amounts) -> Amounts {
+        Amounts {
+            millicpus: if self.millicpus.is_some() { amounts.millicpus } else { 0 },
+            milligpus: if self.milligpus.is_some() { amounts.milligpus } else { 0 },
+        }
+    }
+}
--- /dev/null
+++ b/crates/latchtrack-quota/src/ledger.rs
@@ -0,0 +1,123 @@
+//! The stored value of a team: its limit, its guarantee and the accounts of the cells. A published format.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::amounts::{Amounts, Limit};
+use crate::constants::LEDGER_VERSION;
+
+/// Why a stored value can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum LedgerError {
+    /// It does not have the form of a ledger.
+    #[error("is garbled: {0}")]
+    Garbled(String),
+    /// A later version wrote it.
+    #[error("has version {0}, this one reads up to {LEDGER_VERSION}")]
+    Newer(u32),
+}
+
+/// A cell's request for more.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Request {
+    /// Lower ones come first.
+    pub ticket: u64,
+    /// The allotment with which its next task, slice or gang can start.
+    pub need: Amounts,
+    /// All that the cell could use.
+    pub want: Amounts,
+}
+
+/// What a cell holds of a team's limit.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Account {
+    /// What the cell may use; it counts against the limit whether it is used or not.
+    pub allotted: Amounts,
+    /// Token of the leader that last changed it.
+    pub term: u64,
+    /// Time of day of that change, ms; for operators only.
+    #[serde(default)]
+    pub since_ms: u64,
+    /// What the cell asks for, if it asks for more.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<Request>,
+    /// Fields of later versions.
+    #[serde(flatten)]
+    pub extra: BTreeMap<String, Value>,
+}
+
+/// The stored value of a team.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct TeamLedger {
+    /// Version of the format.
+    pub version: u32,
+    /// What all cells together may use.
+    pub limit: Limit,
+    /// What the team is to get at the least.
+    #[serde(default)]
+    pub guarantee: Amounts,
+    /// The ticket of the next request.
+    #[serde(default)]
+    pub next_ticket: u64,
+    /// Whether every cell has entered what it runs. Until then nobody takes anything.
+    #[serde(default)]
+    pub complete: bool,
+    /// The accounts by cell; a cell without one holds nothing.
+    #[serde(default)]
+    pub cells: BTreeMap<String, Account>,
+    /// Fields of later versions.
+    #[serde(flatten)]
+    pub extra: BTreeMap<String, Value>,
+}
+
+impl TeamLedger {
+    /// The value with which a team begins, or begins again after it was lost.
+    pub fn new(limit: Limit, guarantee: Amounts) -> TeamLedger {
+        TeamLedger {
+            version: LEDGER_VERSION,
+            limit,
+            guarantee,
+            next_ticket: 0,
+            complete: false,
+            cells: BTreeMap::new(),
+            extra: BTreeMap::new(),
+        }
+    }
+
+    /// Reads a stored value.
+    pub fn parse(text: &str) -> Result<TeamLedger, LedgerError> {
+        // The version first: a later one may have another form.
+        #[derive(Deserialize)]
+        struct Version {
+            version: u32,
+        }
+        let garbled = |e: serde_json::Error| LedgerError::Garbled(e.to_string());
+        let Version { version } = serde_json::from_str(text).map_err(garbled)?;
+        if version > LEDGER_VERSION {
+            return Err(LedgerError::Newer(version));
+        }
+        serde_json::from_str(text).map_err(garbled)
+    }
+
+    /// What is allotted to all cells together.
+    pub fn allotted(&self) -> Amounts {
+        self.cells.values().fold(Amounts::NONE, |sum, account| sum.plus(account.allotted))
+    }
+
+    /// Whether more is allotted than the limit: it was lowered, or the value is wrong.
+    pub fn is_overdrawn(&self) -> bool {
+        !self.limit.counted(self.allotted()).fits_in(self.limit.total())
+    }
+
+    /// What is allotted to nobody.
+    pub fn free(&self) -> Amounts {
+        self.limit.total().minus(self.limit.counted(self.allotted()))
+    }
+
+    /// What a cell holds.
+    pub fn allotted_to(&self, cell: &str) -> Amounts {
+        self.cells.get(cell).map_or(Amounts::NONE, |account| account.allotted)
+    }
+}
--- /dev/null
+++ b/crates/latchtrack-quota/src/targets.rs
@@ -0,0 +1,108 @@
+//! Who is to get how much of a limit. Every cell computes the same from the same claims.
+
+use crate::amounts::{Amounts, Limit};
+
+/// What a cell claims of a limit.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Claim {
+    /// Of its request; None if it asks for nothing more than it holds.
+    pub ticket: Option<u64>,
+    /// The allotment with which its next task, slice or gang can start.
+    pub need: Amounts,
+    /// All that it could use.
+    pub want: Amounts,
+}
+
+/// The target of each claim. Together they never pass the limit.
+///
+/// First claims that fit into the guarantee, those that ask for nothing before the others and these by
+/// ticket; then the needs by ticket, each whole or not at all; the rest evenly over the wants.
+pub fn targets(limit: &Limit, guarantee: Amounts, claims: &[Claim]) -> Vec<Amounts> {
+    let mut left = limit.total();
+    let mut out = guarantee_parts(limit, guarantee, claims);
+    for part in &out {
+        left = left.minus(*part);
+    }
+    for i in by_ticket(claims) {
+        if claims[i].ticket.is_none() {
+            continue;
+        }
+        let lacking = limit.counted(claims[i].need).minus(out[i]);
+        if lacking.fits_in(left) {
+            out[i] = out[i].plus(lacking);
+            left = left.minus(lacking);
+        }
+    }
+    let open: Vec<Amounts> = claims
+        .iter()
+        .zip(&out)
+        .map(|(claim, target)| limit.counted(claim.want).minus(*target))
+        .collect();
+    let base: Vec<Amounts> = out.clone();
+    let cpus = even(left.millicpus, &base, &open, |amounts| amounts.millicpus);
+    let gpus = even(left.milligpus, &base, &open, |amounts| amounts.milligpus);
+    for (target, (millicpus, milligpus)) in out.iter_mut().zip(cpus.into_iter().zip(gpus)) {
+        *target = target.plus(Amounts { millicpus, milligpus });
+    }
+    out
+}
+
+/// What of the guarantee goes to each claim: all that it wants, to those that fit into it.
+pub fn guarantee_parts(limit: &Limit, guarantee: Amounts, claims: &[Claim]) -> Vec<Amounts> {
+    let mut left = limit.counted(guarantee).least(limit.total());
+    let mut out = vec![Amounts::NONE; claims.len()];
+    for i in by_ticket(claims) {
+        let want = limit.counted(claims[i].want);
+        if want.fits_in(left) {
+            out[i] = want;
+            left = left.minus(want);
+        }
+    }
+    out
+}
+
+/// The claims in the order in which they are served: those without a request first, then by ticket.
+fn by_ticket(claims: &[Claim]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..claims.len()).collect();
+    order.sort_by_key(|i| claims[*i].ticket);
+    order
+}
+
+/// What is added to each so that the totals are as even as the wants allow. What whole thousandths leave
+/// over goes to the first.
+fn even(
+    left: u64,
+    base: &[Amounts],
+    open: &[Amounts],
+    resource: impl Fn(&Amounts) -> u64,
+) -> Vec<u64> {
+    let base: Vec<u64> = base.iter().map(&resource).collect();
+    let open: Vec<u64> = open.iter().map(&resource).collect();
+    let level = |level: u64| -> Vec<u64> {
+        let added = |(base, open): (&u64, &u64)| level.saturating_sub(*base).min(*open);
+        base.iter().zip(&open).map(added).collect()
+    };
+    let cost = |at: u64| level(at).iter().fold(0u64, |sum, added| sum.saturating_add(*added));
+    let highest = base.iter().zip(&open).map(|(b, o)| b.saturating_add(*o)).max().unwrap_or(0);
+    if cost(highest) <= left {
+        return open;
+    }
+    // The highest level that can be afforded.
+    let (mut low, mut high) = (0, highest);
+    while low + 1 < high {
+        let middle = low + (high - low) / 2;
+        if cost(middle) <= left {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    let mut out = level(low);
+    let mut rest = left - cost(low);
+    for (added, open) in out.iter_mut().zip(&open) {
+        let more = u64::from(rest > 0 && *added < *open);
+        *added += more;
+        rest -= more;
+    }
+    out
+}
