--- a/crates/latchtrack-core/src/constants.rs
+++ b/crates/latchtrack-core/src/constants.rs
@@ -112,6 +112,9 @@
 /// ms a gang finds no room, or not enough under its team's limit, before what is missing is kept for it
 /// alone: its room never comes free by itself while others take it task by task.
 pub const GANG_BEGIN_MS: Millis = 30_000;
+/// ms for which a team's limit is then kept for it while its machines boot: its team's other jobs wait as long, and
+/// nobody is to wait for 90 s.
+pub const GANG_LIMIT_KEPT_MS: Millis = 45_000;
 /// ms since the last gang of a shape for which room for another is kept: some minutes of what comes a few
 /// times a minute.
 pub const RESERVE_MEMORY_MS: Millis = 120_000;
--- a/crates/latchtrack-core/src/leader/balancing.rs
+++ b/crates/latchtrack-core/src/leader/balancing.rs
@@ -412,7 +412,7 @@
     fn check_launch(&self, now: Millis, id: JobId, m: &Move) -> Result<(), Reason> {
         let job = self.jobs.get(&id).ok_or(Reason::JobOver)?;
         let spec = &job.spec;
-        if self.limit_left_now(spec) < m.legs.len() as u32 {
+        if self.limit_left(spec, &self.used_by_teams()) < m.legs.len() as u32 {
             return Err(Reason::TeamLimit);
         }
         let mut zones: Vec<Arc<str>> = self.live_zones(job);
--- a/crates/latchtrack-core/src/leader/fleet.rs
+++ b/crates/latchtrack-core/src/leader/fleet.rs
@@ -158,6 +158,7 @@
         self.watch_deaf(now);
         self.watch_suspects(now);
         self.watch_balance(now);
+        self.watch_quota(now);
         self.probe(now);
         self.wake.append(&mut self.wake_later);
         if self.plan_due(now) {
--- a/crates/latchtrack-core/src/leader/limits.rs
+++ b/crates/latchtrack-core/src/leader/limits.rs
@@ -8,77 +8,116 @@
 use crate::job::JobSpec;
 use crate::machine::fits;
 
-pub(super) fn has_limit(team: &Team) -> bool {
-    team.cpus_max > 0.0 || team.gpus_max > 0.0
+/// CPUs and GPUs in use of a team.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct TeamUsage {
+    pub cpus: f64,
+    pub gpus: f64,
+}
+
+impl TeamUsage {
+    /// Counts so many tasks of a job.
+    pub fn add(&mut self, spec: &JobSpec, tasks: u32) {
+        self.cpus += spec.demand.cpus * f64::from(tasks);
+        self.gpus += spec.demand.gpus * f64::from(tasks);
+    }
+}
+
+/// What the teams use, by name.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TeamUsages {
+    pub teams: BTreeMap<String, TeamUsage>,
+    /// A run of unknown size and team is somewhere.
+    pub unknown_runs: bool,
+}
+
+impl TeamUsages {
+    /// What a team uses.
+    pub fn of(&self, team: &str) -> TeamUsage {
+        self.teams.get(team).copied().unwrap_or_default()
+    }
+}
+
+/// CPUs and GPUs that a team may use here; infinite without a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct TeamLimit {
+    cpus: f64,
+    gpus: f64,
+}
+
+impl TeamLimit {
+    /// The limit of the settings, if there is one.
+    fn of_settings(team: &Team) -> Option<TeamLimit> {
+        let limit = |most: f64| if most > 0.0 { most } else { f64::INFINITY };
+        let has_limit = team.cpus_max > 0.0 || team.gpus_max > 0.0;
+        has_limit.then(|| TeamLimit { cpus: limit(team.cpus_max), gpus: limit(team.gpus_max) })
+    }
 }
 
 impl Cluster {
+    /// The limit of a team at this moment: its allotment where teams are shared with other cells.
+    fn limit_of(&self, team: &Team) -> Option<TeamLimit> {
+        let Some(keeper) = &self.quota else { return TeamLimit::of_settings(team) };
+        let limit = keeper.launch_limit(&team.name)?;
+        let decimal = |milli: Option<u64>| {
+            milli.map_or(f64::INFINITY, |amount| amount as f64 / latchtrack_quota::constants::MILLI)
+        };
+        Some(TeamLimit { cpus: decimal(limit.millicpus), gpus: decimal(limit.milligpus) })
+    }
+
+    fn team_of(&self, spec: &JobSpec) -> Option<&Team> {
+        self.policy.teams.iter().find(|team| team.name == spec.team)
+    }
+
     /// Whether a limit of its team has a say in when a job's tasks start.
     pub(super) fn limited(&self, spec: &JobSpec) -> bool {
-        self.policy.teams.iter().any(|t| t.name == spec.team && has_limit(t))
+        self.team_of(spec).is_some_and(|team| self.limit_of(team).is_some())
     }
 
     fn any_limit(&self) -> bool {
-        self.policy.teams.iter().any(has_limit)
+        self.policy.teams.iter().any(|team| self.limit_of(team).is_some())
     }
 
     /// What the teams use, which only limits ask for.
-    pub(super) fn used_by_teams(&self) -> (BTreeMap<String, (f64, f64)>, bool) {
-        let mut used: BTreeMap<String, (f64, f64)> = BTreeMap::new();
-        let mut unknown_runs = false;
-        if self.any_limit() {
-            for run in self.machines.values().flat_map(|m| m.runs.values()).filter(|r| r.live()) {
-                match &run.spec {
-                    Some(s) => {
-                        let u = used.entry(s.team.clone()).or_default();
-                        u.0 += s.demand.cpus;
-                        u.1 += s.demand.gpus;
-                    }
-                    None => unknown_runs = true,
-                }
-            }
+    pub(super) fn used_by_teams(&self) -> TeamUsages {
+        match self.any_limit() {
+            true => self.used_by_all(),
+            false => TeamUsages::default(),
         }
-        (used, unknown_runs)
     }
 
-    /// How many tasks its team's limit allows beside so many CPUs and GPUs in use.
-    pub(super) fn within_limit(&self, spec: &JobSpec, (cpus, gpus): (f64, f64)) -> u32 {
-        let Some(team) = self.policy.teams.iter().find(|t| t.name == spec.team) else { return 0 };
-        if !has_limit(team) {
-            return u32::MAX;
+    /// What all teams use, with a limit or without.
+    pub(super) fn used_by_all(&self) -> TeamUsages {
+        let mut used = TeamUsages::default();
+        for run in self.machines.values().flat_map(|m| m.runs.values()).filter(|r| r.live()) {
+            match &run.spec {
+                Some(spec) => used.teams.entry(spec.team.clone()).or_default().add(spec, 1),
+                None => used.unknown_runs = true,
+            }
         }
-        let left = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::INFINITY };
-        fits(&spec.demand, left(team.cpus_max, cpus), left(team.gpus_max, gpus), f64::INFINITY)
+        used
     }
 
-    /// How many more tasks the team's limit allows.
-    pub(super) fn limit_left(&self, spec: &JobSpec, round: &Round) -> u32 {
-        if self.limited(spec) && round.unknown_runs {
-            return 0;
-        }
-        let used = round.used.get(&spec.team).copied().unwrap_or_default();
-        self.within_limit(spec, used)
+    /// How many tasks its team's limit allows beside so much in use.
+    pub(super) fn within_limit(&self, spec: &JobSpec, used: TeamUsage) -> u32 {
+        let Some(team) = self.team_of(spec) else { return 0 };
+        let Some(limit) = self.limit_of(team) else { return u32::MAX };
+        let (cpus, gpus) = (limit.cpus - used.cpus, limit.gpus - used.gpus);
+        fits(&spec.demand, cpus, gpus, f64::INFINITY)
     }
 
-    /// The same by all that is on machines now, outside of a round.
-    pub(super) fn limit_left_now(&self, spec: &JobSpec) -> u32 {
-        if !self.limited(spec) {
-            return u32::MAX;
-        }
-        match self.used_by_teams() {
-            (_, true) => 0,
-            (used, false) => {
-                self.within_limit(spec, used.get(&spec.team).copied().unwrap_or_default())
-            }
+    /// How many more tasks the team's limit allows, beside what the teams use.
+    pub(super) fn limit_left(&self, spec: &JobSpec, used: &TeamUsages) -> u32 {
+        if self.limited(spec) && used.unknown_runs {
+            return 0;
         }
+        self.within_limit(spec, used.of(&spec.team))
     }
 
     /// Counts tasks against their team's limit.
     pub(super) fn count_use(&self, spec: &JobSpec, tasks: u32, round: &mut Round) {
         if self.any_limit() {
-            let used = round.used.entry(spec.team.clone()).or_default();
-            used.0 += spec.demand.cpus * f64::from(tasks);
-            used.1 += spec.demand.gpus * f64::from(tasks);
+            round.used.teams.entry(spec.team.clone()).or_default().add(spec, tasks);
         }
     }
 }
--- a/crates/latchtrack-core/src/leader/messages.rs
+++ b/crates/latchtrack-core/src/leader/messages.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use latchtrack_quota::{LedgerWrite, View, WriteOutcome};
+
 use crate::bitmap::Bitmap;
 use crate::job::{JobId, JobSpec};
 use crate::machine::{Command, MachineType, Report};
@@ -145,6 +147,12 @@
     },
     /// The cloud's types and prices.
     Types(Vec<MachineType>),
+    /// A look at what the cells share, which began in this term.
+    Quota(View),
+    QuotaWritten {
+        write: LedgerWrite,
+        outcome: WriteOutcome,
+    },
     Tick,
 }
 
@@ -170,6 +178,8 @@
     List,
     /// Something waits to be written: ask [`Cluster::next_writes`].
     Save,
+    /// A change of what the cells share.
+    WriteQuota(LedgerWrite),
     /// A higher token has been seen, or our workers hear us no more: stop leading.
     Resign(&'static str),
     /// For the log, once each.
--- a/crates/latchtrack-core/src/leader/mod.rs
+++ b/crates/latchtrack-core/src/leader/mod.rs
@@ -20,6 +20,7 @@
 mod placing;
 mod policy;
 mod promptness;
+mod quota;
 mod renting;
 mod reports;
 mod reserve;
@@ -33,6 +34,7 @@
 use std::sync::Arc;
 
 use latchtrack_balance::balancer::Balancer;
+use latchtrack_quota::{Amounts, Keeper};
 
 pub use balancing::BalanceSummary;
 pub use gang::AttemptState;
@@ -107,6 +109,12 @@
     boots: Boots,
     balancer: Balancer,
     balance: Balance,
+    /// This cell's part of the teams' limits, where cells share them.
+    quota: Option<Keeper>,
+    /// What teams need for the first of their jobs that are to begin before all others.
+    next_of_teams: BTreeMap<String, Amounts>,
+    /// What was launched of each team in this term.
+    started: BTreeMap<String, Amounts>,
     /// Values of the machine set that can't be read: until every lease of before this term has run
     /// out, tasks may be on machines that we do not know.
     garbled: Vec<(String, u64)>,
@@ -214,6 +222,9 @@
             listed_at: None,
             finished: BTreeSet::new(),
             boots: Boots::default(),
+            next_of_teams: BTreeMap::new(),
+            started: BTreeMap::new(),
+            quota: quota::keeper(&policy, token),
             balancer: Balancer::new(policy.balance.limits),
             balance: Balance::default(),
             policy,
@@ -371,6 +382,8 @@
             Event::Listed(listed) => self.on_listed(now, listed),
             Event::Saved { writes, outcome } => self.on_saved(now, writes, outcome),
             Event::Types(types) => self.types = types,
+            Event::Quota(view) => self.on_quota(now, view),
+            Event::QuotaWritten { write, outcome } => self.on_quota_written(now, &write, outcome),
             Event::Tick => self.on_tick(now),
         }
         if !self.finished.is_empty() || self.fleet.due(now) || self.results.due(now) {
--- a/crates/latchtrack-core/src/leader/order.rs
+++ b/crates/latchtrack-core/src/leader/order.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 
+use super::limits::TeamUsage;
 use super::policy::Due;
 use super::Cluster;
 use crate::constants::*;
@@ -106,7 +107,11 @@
     /// Jobs that fit into their team's guarantee together with the team's earlier ones.
     fn guaranteed_jobs(&self) -> HashSet<JobId> {
         let mut out = HashSet::new();
-        for team in self.policy.teams.iter().filter(|t| t.cpus > 0.0 || t.gpus > 0.0) {
+        for team in &self.policy.teams {
+            let guarantee = self.guarantee_of(team);
+            if guarantee == TeamUsage::default() {
+                continue;
+            }
             let mut mine: Vec<&Job> =
                 self.jobs.values().filter(|j| j.spec.team == team.name && !j.is_suspect).collect();
             mine.sort_by_key(|j| (j.submitted_at, j.spec.id));
@@ -115,7 +120,7 @@
                 let n = f64::from(job.spec.tasks - job.done.ones());
                 cpus += job.spec.demand.cpus * n;
                 gpus += job.spec.demand.gpus * n;
-                if cpus > team.cpus + 1e-6 || gpus > team.gpus + 1e-6 {
+                if cpus > guarantee.cpus + 1e-6 || gpus > guarantee.gpus + 1e-6 {
                     break;
                 }
                 out.insert(job.spec.id);
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use super::limits::TeamUsage;
 use super::messages::Effect;
 use super::order::Turn;
 use super::renting::fill_promised;
@@ -49,11 +50,12 @@
             self.held_images = up.flat_map(|m| m.images.names().map(str::to_string)).collect();
         }
         let (rooms, total) = self.rooms(now);
-        let (used, unknown_runs) = self.used_by_teams();
+        let used = self.used_by_teams();
         let shapes = self.shapes.nothing_found();
-        let mut round = Round { rooms, total, shapes, used, unknown_runs };
+        let mut round = Round { rooms, total, shapes, used };
         let unsettled = !self.all_settled();
         self.gathering.clear();
+        self.next_of_teams.clear();
         let mut order = self.order(now, &round.total, unsettled);
         for turn in &order {
             let Some(job) = self.jobs.get(&turn.job) else { continue };
@@ -72,8 +74,11 @@
         for id in self.begin.clone() {
             let spec = self.jobs[&id].spec.clone();
             let slice = self.slice_of(&spec);
-            let most = slice.min(self.limit_left(&spec, &round));
-            if self.fill_ready(now, id, &spec, most, &mut round) > 0 {
+            self.note_next(&spec, slice);
+            let most = slice.min(self.limit_left(&spec, &round.used));
+            // A gang starts whole or not at all.
+            let may_start = most == slice || !spec.gang;
+            if may_start && self.fill_ready(now, id, &spec, most, &mut round) > 0 {
                 continue;
             }
             // What is missing is kept for it: of its team's limit from the team's other jobs, or a
@@ -90,6 +95,9 @@
             }
             // In its turn the limit may be gone, and nothing would ever be rented for it.
             self.place_job(now, &mut Turn { job: id, most: slice }, &mut round);
+            if self.keeps_limit_for_gang(now, id) {
+                self.count_use(&spec, slice, &mut round);
+            }
         }
         self.hold_reserves(now, &mut round);
         for turn in &mut order {
@@ -104,14 +112,26 @@
         self.held = held.into_iter().collect();
     }
 
+    /// Whether a gang that has its limit and waits for machines keeps that limit from its team's other jobs,
+    /// which else take it while the machines boot, so that both are never there at once.
+    fn keeps_limit_for_gang(&self, now: Millis, id: JobId) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.spec.gang && job.wanted() > 0) else {
+            return false;
+        };
+        let until = GANG_BEGIN_MS + GANG_LIMIT_KEPT_MS;
+        job.passed_since.is_some_and(|since| now < since.saturating_add(until))
+    }
+
     /// Tasks of a job that start together.
     pub(super) fn slice_of(&self, spec: &JobSpec) -> u32 {
         match spec.gang {
             true => spec.tasks,
             // A slice above what its team may ever use would never start.
-            false => {
-                self.policy.slice.min(self.within_limit(spec, (0.0, 0.0))).clamp(1, spec.tasks)
-            }
+            false => self
+                .policy
+                .slice
+                .min(self.within_limit(spec, TeamUsage::default()))
+                .clamp(1, spec.tasks),
         }
     }
 
@@ -136,7 +156,7 @@
         if !is_suspect {
             round.shapes[shape].to_come = round.shapes[shape].to_come.saturating_sub(all);
         }
-        let waiting = all.min(self.limit_left(&spec, round));
+        let waiting = all.min(self.limit_left(&spec, &round.used));
         if spec.gang && waiting < all {
             // Whole or not at all: it waits for its team's limit.
             if let Some(job) = self.jobs.get_mut(&id).filter(|_| !is_suspect) {
@@ -386,6 +406,7 @@
         }
         m.empty_since = None;
         self.wake.insert(machine.to_string());
+        self.note_started(spec, tasks.len() as u32);
     }
 }
 
--- a/crates/latchtrack-core/src/leader/policy.rs
+++ b/crates/latchtrack-core/src/leader/policy.rs
@@ -40,6 +40,8 @@
     /// Classes whose tasks are to start within so many ms.
     pub prompt: Vec<(String, Millis)>,
     pub balance: BalancePolicy,
+    /// The cell that shares the teams' limits with others; None if this deployment has them alone.
+    pub quota_cell: Option<String>,
 }
 
 /// What of load balancing is switched on, and how often tasks may move.
--- /dev/null
+++ b/crates/latchtrack-core/src/leader/quota.rs
@@ -0,0 +1,145 @@
+//! This cell's part of limits and guarantees that cells share: what the teams use goes to the keeper, and
+//! what it allows goes into placing. docs/quota.md says why no limit is passed.
+
+use std::collections::BTreeMap;
+
+use latchtrack_quota::{
+    Amounts, Keeper, KeeperSettings, LedgerWrite, Limit, TeamSummary, TeamTerms, TeamUse, View,
+    WriteOutcome,
+};
+
+use super::limits::TeamUsage;
+use super::messages::Effect;
+use super::policy::{Policy, Team};
+use super::Cluster;
+use crate::job::{Job, JobSpec};
+use crate::Millis;
+
+/// The keeper for a new leader, if teams are shared.
+pub(super) fn keeper(policy: &Policy, term: u64) -> Option<Keeper> {
+    let cell = policy.quota_cell.clone()?;
+    let terms = |team: &Team| TeamTerms {
+        limit: Limit::of(team.cpus_max, team.gpus_max),
+        guarantee: Amounts::covering(team.cpus, team.gpus),
+    };
+    let teams = policy.teams.iter().map(|team| (team.name.clone(), terms(team))).collect();
+    Some(Keeper::new(KeeperSettings { cell, term, teams }))
+}
+
+/// What so many tasks of a job take.
+fn demand_of(spec: &JobSpec, tasks: u32) -> Amounts {
+    let mut usage = TeamUsage::default();
+    usage.add(spec, tasks);
+    Amounts::covering(usage.cpus, usage.gpus)
+}
+
+/// What the next of a job's tasks to start needs: a gang starts whole.
+fn next_of(job: &Job) -> Amounts {
+    let tasks = if job.spec.gang { job.spec.tasks } else { 1 };
+    demand_of(&job.spec, tasks)
+}
+
+impl Cluster {
+    pub(super) fn on_quota(&mut self, now: Millis, view: View) {
+        let Some(keeper) = self.quota.as_mut() else { return };
+        keeper.observe(now, view);
+        // At once, before others have changed what was seen.
+        self.watch_quota(now);
+    }
+
+    pub(super) fn on_quota_written(
+        &mut self,
+        now: Millis,
+        write: &LedgerWrite,
+        outcome: WriteOutcome,
+    ) {
+        let Some(keeper) = self.quota.as_mut() else { return };
+        keeper.written(now, write, outcome);
+        self.after_quota();
+    }
+
+    /// Asks, takes and gives back by what the teams use now. Placing comes after it, within the limits that
+    /// it leaves.
+    pub(super) fn watch_quota(&mut self, now: Millis) {
+        let Some(mut keeper) = self.quota.take() else { return };
+        let writes = keeper.step(now, &self.team_uses(now));
+        self.quota = Some(keeper);
+        self.out.extend(writes.into_iter().map(Effect::WriteQuota));
+        self.after_quota();
+    }
+
+    /// The teams that cells share, for an operator.
+    pub fn quota_summary(&self) -> Option<Vec<TeamSummary>> {
+        self.quota.as_ref().map(Keeper::summary)
+    }
+
+    /// A team's guarantee here: the cell's part of it where teams are shared.
+    pub(super) fn guarantee_of(&self, team: &Team) -> TeamUsage {
+        let shared = self.quota.as_ref().and_then(|keeper| keeper.guarantee(&team.name));
+        match shared {
+            Some(part) => {
+                let (cpus, gpus) = part.decimal();
+                TeamUsage { cpus, gpus }
+            }
+            None => TeamUsage { cpus: team.cpus, gpus: team.gpus },
+        }
+    }
+
+    fn after_quota(&mut self) {
+        let Some(keeper) = self.quota.as_mut() else { return };
+        let notices = keeper.take_notices();
+        self.replan |= !notices.is_empty();
+        self.out.extend(notices.into_iter().map(|notice| Effect::Note(notice.to_string())));
+    }
+
+    /// What each team uses and waits for in this cell.
+    fn team_uses(&self, now: Millis) -> BTreeMap<String, TeamUse> {
+        let used = self.used_by_all();
+        let is_settled = self.all_settled() && !used.unknown_runs;
+        let team_use = |team: &Team| {
+            let usage = used.of(&team.name);
+            let used = Amounts::covering(usage.cpus, usage.gpus);
+            let started = self.started.get(&team.name).copied().unwrap_or_default();
+            (team.name.clone(), TeamUse { is_settled, used, started, ..TeamUse::default() })
+        };
+        let mut uses: BTreeMap<String, TeamUse> = self.policy.teams.iter().map(team_use).collect();
+        let mut oldest: BTreeMap<&str, &Job> = BTreeMap::new();
+        // What pauses asks for nothing: a suspect job is tried now and then.
+        let is_waiting = |job: &&Job| job.wanted() > 0 && job.pause_until <= now;
+        for job in self.jobs.values().filter(is_waiting) {
+            let team = job.spec.team.as_str();
+            let Some(team_use) = uses.get_mut(team) else { continue };
+            team_use.waiting = team_use.waiting.plus(demand_of(&job.spec, job.wanted()));
+            if job.is_suspect {
+                // It may use what there is, but nothing is gathered for it.
+                continue;
+            }
+            let first = oldest.entry(team).or_insert(job);
+            if (job.submitted_at, job.spec.id) < (first.submitted_at, first.spec.id) {
+                *first = job;
+            }
+        }
+        for (team, job) in oldest {
+            let noted = self.next_of_teams.get(team).copied();
+            if let Some(team_use) = uses.get_mut(team) {
+                team_use.next = noted.unwrap_or_else(|| next_of(job));
+            }
+        }
+        uses
+    }
+
+    /// Notes that tasks of a job are launched.
+    pub(super) fn note_started(&mut self, spec: &JobSpec, tasks: u32) {
+        if self.quota.is_some() {
+            let started = self.started.entry(spec.team.clone()).or_default();
+            *started = started.plus(demand_of(spec, tasks));
+        }
+    }
+
+    /// Notes a job that is to begin before all others: the first of each team is the next to start.
+    pub(super) fn note_next(&mut self, spec: &JobSpec, tasks: u32) {
+        if self.quota.is_some() {
+            self.next_of_teams.entry(spec.team.clone()).or_insert(demand_of(spec, tasks));
+        }
+    }
+}
--- a/crates/latchtrack-core/src/leader/renting.rs
+++ b/crates/latchtrack-core/src/leader/renting.rs
@@ -50,7 +50,7 @@
         let per_machine = t.holds(&spec.demand).max(1);
         // Like tasks are decided as a class: one call for all of this shape, not one a job. Team
         // limits are left to each job.
-        let alike = match self.limit_left(spec, round) {
+        let alike = match self.limit_left(spec, &round.used) {
             u32::MAX => self.jobs.get(&spec.id).map_or(0, |j| round.shapes[j.shape].to_come),
             _ => 0,
         };
--- a/crates/latchtrack-core/src/leader/rooms.rs
+++ b/crates/latchtrack-core/src/leader/rooms.rs
@@ -1,7 +1,6 @@
 //! What a round of placing begins with: the room of each machine, and what the teams use.
 
-use std::collections::BTreeMap;
-
+use super::limits::TeamUsages;
 use super::renting::promised;
 use super::shapes::Found;
 use super::Cluster;
@@ -15,10 +14,8 @@
     pub rooms: Vec<Room>,
     pub total: Demand,
     pub shapes: Vec<Found>,
-    /// CPUs and GPUs in use of teams that have a limit.
-    pub used: BTreeMap<String, (f64, f64)>,
-    /// A run of unknown size and team is somewhere.
-    pub unknown_runs: bool,
+    /// What teams use, if any has a limit.
+    pub used: TeamUsages,
 }
 
 impl Cluster {
--- a/crates/latchtrack-core/tests/common/mod.rs
+++ b/crates/latchtrack-core/tests/common/mod.rs
@@ -31,6 +31,7 @@
         calls_open: 64,
         value_bytes: 4_096,
         teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
+        quota_cell: None,
         aims: Vec::new(),
         aimed: Default::default(),
         prompt: Vec::new(),
--- a/crates/latchtrack-core/tests/gangs.rs
+++ b/crates/latchtrack-core/tests/gangs.rs
@@ -530,3 +530,43 @@
     }
     panic!("never rented");
 }
+
+/// Found by simulation: a gang that was to begin before all others was launched in part, as far as its team's
+/// limit went, and stopped again, over and over.
+#[test]
+fn a_gang_is_never_launched_in_part_under_its_teams_limit() {
+    let mut policy = patient();
+    policy.teams[0].cpus_max = 16.0;
+    let mut site = Site::new(4, policy);
+    site.submit(array(1, 2));
+    site.pass(1_000);
+    site.set(1, Phase::Running, |_| true);
+    site.submit(gang(2, 4));
+    for _ in 0..60 {
+        site.pass(1_000);
+        assert_eq!(site.live(2).len(), 0);
+    }
+    assert_eq!(site.stops, []);
+    site.set(1, Phase::Ended(Cause::Done), |_| true);
+    site.pass(2_000);
+    only_attempt(&site, 2, 4);
+}
+
+/// Found by simulation: a gang had its team's limit, but while the machines for it booted the team's other
+/// jobs took that, and when it had the limit again its machines had been given back.
+#[test]
+fn a_gang_keeps_its_teams_limit_while_its_machines_boot() {
+    let mut policy = patient();
+    policy.teams[0].cpus_max = 16.0;
+    let mut site = Site::new(2, policy);
+    site.no_capacity = true;
+    // There is no machine for it yet.
+    site.submit(JobSpec { types: Some(vec!["h".into()]), ..gang(1, 4) });
+    site.pass(31_000);
+    let small = Demand { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 };
+    site.submit(JobSpec { demand: small, ..array(2, 8) });
+    site.pass(10_000);
+    assert_eq!(site.live(2).len(), 0, "its limit is kept");
+    site.pass(60_000);
+    assert_eq!(site.live(2).len(), 8, "but not for ever");
+}
--- a/crates/latchtrack-core/tests/simulation/main.rs
+++ b/crates/latchtrack-core/tests/simulation/main.rs
@@ -7,6 +7,7 @@
 mod balance;
 mod fault_interactions;
 mod gangs;
+mod quota;
 mod world;
 
 use world::{Broken, Planned, Size, World, FLEET, HUGE, HUGEST, LARGE, SMALL};
--- /dev/null
+++ b/crates/latchtrack-core/tests/simulation/world/federation.rs
@@ -0,0 +1,384 @@
+//! Several cells that share teams: each a world of its own, and one state service for what they share.
+
+use latchtrack_quota::{CellRecord, Presence, SeenLedger, TeamLedger, View};
+
+use super::*;
+
+/// ms between two looks of a leader at what is shared.
+const LOOK_MS: u64 = 250;
+/// ms after which an answer that has not come is given up.
+const GIVEN_UP_MS: u64 = 2_000;
+/// The team with a limit that all cells share.
+pub const TEAM: &str = "limited";
+
+/// A change of what is shared, as a leader wants it.
+pub struct SharedWrite {
+    pub node: usize,
+    pub run: u64,
+    pub token: u64,
+    pub write: LedgerWrite,
+}
+
+/// Which condition the shared state service ignores.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ignored {
+    Nothing,
+    /// The revision of the value.
+    Revision,
+    /// The writer's leader key.
+    Fence,
+    /// That cells which are taken for dead still are.
+    DeadCells,
+    /// The leases in the records of the cells, which are taken for 0.
+    Leases,
+}
+
+enum SharedMsg {
+    Carry { cell: usize, shared: SharedWrite, tell: bool },
+    Tell { cell: usize, node: usize, run: u64, token: u64, event: Box<Event> },
+}
+
+/// Several cells and what they share.
+pub struct Federation {
+    pub cells: Vec<World>,
+    pub violations: Vec<String>,
+    /// What came about, so that tests can tell that it did.
+    pub met: BTreeMap<&'static str, u64>,
+    /// Most of the shared limit in use at a time.
+    pub most_used: f64,
+    /// Writes of what is shared that were carried out.
+    pub writes: u64,
+    rng: StdRng,
+    ignored: Ignored,
+    now: u64,
+    size: Size,
+    /// Common to all cells, so that tokens and revisions can be compared.
+    revision: u64,
+    /// The stored text of each team's value, with its revision.
+    teams: BTreeMap<String, (u64, String)>,
+    queue: BTreeMap<(u64, u64), SharedMsg>,
+    next_id: u64,
+    next_look: Vec<u64>,
+    /// The last look of anybody, which a watch that skips shows again.
+    old_view: View,
+}
+
+fn name_of(cell: usize) -> String {
+    format!("cell-{cell}")
+}
+
+impl Federation {
+    pub fn new(seed: u64, cells: usize, size: Size, ignored: Ignored) -> Federation {
+        let world = |i: usize| {
+            let mut world = World::sized(seed * 31 + i as u64, Broken::Nothing, size);
+            world.cell = Some(name_of(i));
+            world
+        };
+        Federation {
+            cells: (0..cells).map(world).collect(),
+            violations: Vec::new(),
+            met: BTreeMap::new(),
+            most_used: 0.0,
+            writes: 0,
+            rng: StdRng::seed_from_u64(seed),
+            ignored,
+            now: 1_000,
+            size,
+            revision: 10,
+            teams: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            next_id: 0,
+            next_look: vec![0; cells],
+            old_view: View::default(),
+        }
+    }
+
+    /// With troubles at set times in some cells.
+    pub fn planned(mut self, cells: &[usize], plan: &[(u64, Planned)]) -> Federation {
+        for cell in cells {
+            self.cells[*cell].plan.extend_from_slice(plan);
+        }
+        self
+    }
+
+    /// With a stored value of the shared team.
+    pub fn stored(mut self, text: &str) -> Federation {
+        self.teams.insert(TEAM.into(), (1, text.to_string()));
+        self
+    }
+
+    /// The stored text of the shared team's value.
+    pub fn value(&self) -> Option<&str> {
+        self.teams.get(TEAM).map(|(_, text)| text.as_str())
+    }
+
+    /// The stored value disappears.
+    pub fn lose_value(&mut self) {
+        self.teams.remove(TEAM);
+        self.revision += 1;
+        self.meets("value lost");
+    }
+
+    /// An operator changes the stored limit.
+    pub fn set_limit(&mut self, cpus: f64) {
+        let Some(mut ledger) = self.ledger() else { return };
+        ledger.limit = latchtrack_quota::Limit::of(cpus, 0.0);
+        self.store(TEAM, &ledger);
+    }
+
+    /// The stored value.
+    pub fn ledger(&self) -> Option<TeamLedger> {
+        TeamLedger::parse(self.value()?).ok()
+    }
+
+    /// ms since the beginning.
+    pub fn now(&self) -> u64 {
+        self.now
+    }
+
+    pub fn run(&mut self) {
+        while self.now < self.size.end && self.violations.is_empty() {
+            self.step();
+            if self.now >= self.size.troubled && self.unfinished().is_empty() {
+                break;
+            }
+        }
+    }
+
+    pub fn unfinished(&self) -> Vec<String> {
+        let of = |(i, cell): (usize, &World)| {
+            let named = move |id: String| format!("{}: {id}", name_of(i));
+            cell.unfinished().into_iter().map(named).collect::<Vec<_>>()
+        };
+        self.cells.iter().enumerate().flat_map(of).collect()
+    }
+
+    pub fn jobs_done(&self) -> usize {
+        self.cells.iter().map(World::jobs_done).sum()
+    }
+
+    /// How many jobs of a cell's limited team have begun, of how many.
+    pub fn begun(&self, cell: usize) -> (usize, usize) {
+        let counted = |j: &&Stored| {
+            j.spec.team == TEAM && !j.mistaken && !matches!(j.state, State::Cancelled)
+        };
+        let jobs: Vec<&Stored> = self.cells[cell].jobs.values().filter(counted).collect();
+        let begun = |j: &&&Stored| j.begun.is_some() || matches!(j.state, State::Done);
+        (jobs.iter().filter(begun).count(), jobs.len())
+    }
+
+    /// CPUs of the shared team in use in all cells.
+    pub fn total_used(&self) -> f64 {
+        (0..self.cells.len()).map(|cell| self.used(cell)).sum()
+    }
+
+    fn meets(&mut self, what: &'static str) {
+        *self.met.entry(what).or_default() += 1;
+    }
+
+    /// CPUs of the shared team that are in use in a cell.
+    pub fn used(&self, cell: usize) -> f64 {
+        let world = &self.cells[cell];
+        let on = |t: &WTask| matches!(t.phase, Phase::Waiting | Phase::Running | Phase::Saving);
+        let tasks = world.workers.values().flat_map(|w| &w.tasks).filter(|(_, t)| on(t));
+        let jobs = tasks.filter_map(|((task, _), _)| world.jobs.get(&task.job));
+        jobs.filter(|job| job.spec.team == TEAM).map(|job| job.spec.demand.cpus).sum()
+    }
+
+    pub fn step(&mut self) {
+        self.now += self.size.step;
+        for i in 0..self.cells.len() {
+            let elsewhere = (0..self.cells.len()).filter(|other| *other != i);
+            let used_elsewhere = elsewhere.map(|other| self.used(other)).sum();
+            let cell = &mut self.cells[i];
+            cell.used_elsewhere = used_elsewhere;
+            cell.epoch = self.revision;
+            cell.step();
+            self.revision = cell.epoch;
+            self.violations.append(&mut self.cells[i].violations);
+            for (what, times) in std::mem::take(&mut self.cells[i].met) {
+                *self.met.entry(what).or_default() += times;
+            }
+            for shared in std::mem::take(&mut self.cells[i].shared_writes) {
+                self.send(i, shared);
+            }
+            self.look(i);
+        }
+        self.deliver_due();
+        self.check_limit();
+    }
+
+    fn check_limit(&mut self) {
+        let used = self.total_used();
+        self.most_used = self.most_used.max(used);
+        if used > self.size.limit + 1e-6 {
+            let each: Vec<f64> = (0..self.cells.len()).map(|cell| self.used(cell)).collect();
+            self.violations.push(format!("quota: {each:?} in use at {}", self.now));
+        }
+    }
+
+    fn post(&mut self, delay: u64, msg: SharedMsg) {
+        self.next_id += 1;
+        self.queue.insert((self.now + delay, self.next_id), msg);
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some((&key, _)) = self.queue.first_key_value() {
+            if key.0 > self.now {
+                break;
+            }
+            match self.queue.remove(&key) {
+                Some(SharedMsg::Carry { cell, shared, tell }) => self.carry_out(cell, shared, tell),
+                Some(SharedMsg::Tell { cell, node, run, token, event }) => {
+                    let world = &mut self.cells[cell];
+                    world.epoch = self.revision;
+                    world.deliver(Msg::Tell { node, run, token, event: *event });
+                    self.revision = world.epoch;
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// A leader looks at what is shared; now and then its watch has skipped what changed lately.
+    fn look(&mut self, cell: usize) {
+        if self.now < self.next_look[cell] {
+            return;
+        }
+        self.next_look[cell] = self.now + LOOK_MS;
+        let mut view = self.view();
+        let troubled = self.size.troubles > 0.0 && self.now < self.size.troubled;
+        if troubled && self.rng.random_bool(0.05) {
+            view = View { revision: view.revision, ..self.old_view.clone() };
+            self.meets("watch skipped");
+        } else {
+            self.old_view = view.clone();
+        }
+        let world = &self.cells[cell];
+        for n in 0..world.nodes.len() {
+            let node = &world.nodes[n];
+            if node.cluster.is_none() || !world.awake(n) || !world.reaches_store(n) {
+                continue;
+            }
+            let (run, token) = (node.run, node.token);
+            let event = Box::new(Event::Quota(view.clone()));
+            let slow = self.rng.random_bool(0.05);
+            let delay = self.rng.random_range(1..if slow { 1_200 } else { 60 });
+            self.post(delay, SharedMsg::Tell { cell, node: n, run, token, event });
+            return;
+        }
+    }
+
+    fn view(&self) -> View {
+        let mut view = View { revision: self.revision, ..View::default() };
+        for (team, (revision, text)) in &self.teams {
+            let seen = SeenLedger { revision: *revision, ledger: TeamLedger::parse(text) };
+            view.teams.insert(team.clone(), seen);
+        }
+        for (i, world) in self.cells.iter().enumerate().filter(|(_, w)| w.last_token > 0) {
+            let lease = |ms: u64| if self.ignored == Ignored::Leases { 0 } else { ms };
+            let record = CellRecord {
+                cloud: name_of(i),
+                leader_lease_ms: lease(TTL),
+                worker_lease_ms: lease(LEASE),
+            };
+            let presence = Presence {
+                is_led: world.leader.is_some(),
+                term_revision: world.last_token,
+                record: Some(record),
+            };
+            view.cells.insert(name_of(i), presence);
+        }
+        view
+    }
+
+    /// A write leaves a node: it may be slow, late, or lose its answer.
+    fn send(&mut self, cell: usize, shared: SharedWrite) {
+        let (node, run, token) = (shared.node, shared.run, shared.token);
+        let outcome = |outcome| {
+            let event = Box::new(Event::QuotaWritten { write: shared.write.clone(), outcome });
+            SharedMsg::Tell { cell, node, run, token, event }
+        };
+        let troubled = self.size.troubles > 0.0 && self.now < self.size.troubled;
+        let is_reached = self.cells[cell].reaches_store(node);
+        if !is_reached && self.rng.random_bool(0.5) {
+            let refused = outcome(WriteOutcome::NotStored);
+            self.post(20, refused);
+            return;
+        }
+        let is_late = !is_reached || troubled && self.rng.random_bool(0.1);
+        let is_lost = troubled && self.rng.random_bool(0.1);
+        if is_late || is_lost {
+            let unknown = outcome(WriteOutcome::Unknown);
+            self.post(GIVEN_UP_MS, unknown);
+            self.meets(if is_late { "late write" } else { "lost answer" });
+        }
+        let delay = self.rng.random_range(if is_late { 2_000..20_000 } else { 1..60 });
+        self.post(delay, SharedMsg::Carry { cell, shared, tell: !is_late && !is_lost });
+    }
+
+    fn carry_out(&mut self, cell: usize, shared: SharedWrite, tell: bool) {
+        let SharedWrite { node, run, token, write } = shared;
+        let is_down = self.cells[cell].now < self.cells[cell].store_down_until;
+        let outcome = match !is_down && self.may_store(cell, token, &write) {
+            true => {
+                self.note(cell, &write);
+                WriteOutcome::Stored(self.store(&write.team, &write.ledger))
+            }
+            false => WriteOutcome::NotStored,
+        };
+        if outcome == WriteOutcome::NotStored {
+            // Its sender looks again at once.
+            self.next_look[cell] = self.now;
+        }
+        if tell {
+            let event = Box::new(Event::QuotaWritten { write, outcome });
+            self.post(5, SharedMsg::Tell { cell, node, run, token, event });
+        }
+    }
+
+    fn store(&mut self, team: &str, ledger: &TeamLedger) -> u64 {
+        self.revision += 1;
+        self.writes += 1;
+        let text = serde_json::to_string(ledger).unwrap();
+        self.teams.insert(team.into(), (self.revision, text));
+        self.revision
+    }
+
+    fn note(&mut self, cell: usize, write: &LedgerWrite) {
+        if !write.dead.is_empty() {
+            self.meets("reclaimed");
+        }
+        let before = self.ledger().map_or(0, |l| l.allotted_to(&name_of(cell)).millicpus);
+        let after = write.ledger.allotted_to(&name_of(cell)).millicpus;
+        if before != after {
+            self.meets(if after > before { "taken" } else { "given back" });
+        }
+    }
+
+    fn may_store(&mut self, cell: usize, token: u64, write: &LedgerWrite) -> bool {
+        let revision = self.teams.get(&write.team).map_or(0, |(revision, _)| *revision);
+        if revision != write.expect {
+            self.meets("stale write refused");
+            if self.ignored != Ignored::Revision {
+                return false;
+            }
+        }
+        if self.cells[cell].leader.map(|(_, token, _)| token) != Some(token) {
+            self.meets("deposed writer refused");
+            if self.ignored != Ignored::Fence {
+                return false;
+            }
+        }
+        let is_dead = |dead: &latchtrack_quota::DeadCell| {
+            let found = (0..self.cells.len()).find(|i| name_of(*i) == dead.cell);
+            let world = found.map(|i| &self.cells[i]);
+            world.is_some_and(|w| w.leader.is_none() && w.last_token == dead.term_revision)
+        };
+        let are_dead = write.dead.iter().all(is_dead);
+        if !are_dead {
+            self.meets("reclaim refused");
+        }
+        are_dead || self.ignored == Ignored::DeadCells
+    }
+}
--- a/crates/latchtrack-core/tests/simulation/world/mod.rs
+++ b/crates/latchtrack-core/tests/simulation/world/mod.rs
@@ -1,6 +1,7 @@
 //! The world of the simulation: state service, cloud, workers, users, nodes and a referee.
 
 mod cloud;
+pub mod federation;
 mod gangs;
 mod nodes;
 mod store;
@@ -17,6 +18,7 @@
 use latchtrack_core::machine::*;
 use latchtrack_core::placement::{Offer, Weights};
 use latchtrack_core::rules;
+use latchtrack_quota::{LedgerWrite, WriteOutcome};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -45,6 +47,8 @@
     /// Chance that a job is a gang.
     pub gangs: f64,
     pub first: usize,
+    /// Chance in a step that a user cancels a job.
+    pub cancels: f64,
     /// Chance of a trouble in a step.
     pub troubles: f64,
     /// Chance that a report is copied on its way.
@@ -72,6 +76,7 @@
     capacity: 4,
     report: 1_500,
     submits: 0.007,
+    cancels: 0.002,
     tasks: 6,
     gangs: 0.25,
     first: 0,
@@ -94,6 +99,7 @@
     capacity: 150,
     report: 4_000,
     submits: 0.3,
+    cancels: 0.002,
     tasks: 60,
     gangs: 0.1,
     first: 150,
@@ -153,6 +159,10 @@
     Mistakes(usize),
     /// A part of the machines fails every task.
     Sick(f64),
+    /// The state service refuses all nodes.
+    RefuseAll(u64),
+    /// So many jobs of one small task of the limited team at once; a quarter of them is cancelled at once.
+    LimitedBurst(usize),
     /// The state service refuses the leader alone, which keeps hearing its workers.
     RefuseLeader(u64),
     /// Of a part of the machines reports arrive, answers and commands don't.
@@ -437,6 +447,14 @@
     size: Size,
     next_job: u64,
     lonely: bool,
+    /// The cell that this world is, if it shares teams with others.
+    cell: Option<String>,
+    /// What the cells share, as its leaders want it written.
+    shared_writes: Vec<federation::SharedWrite>,
+    /// CPUs of the limited team in use in other cells.
+    used_elsewhere: f64,
+    /// Token of the last leader.
+    last_token: u64,
 }
 
 fn types() -> Vec<MachineType> {
@@ -531,6 +549,10 @@
             size,
             next_job: 0,
             lonely: false,
+            cell: None,
+            shared_writes: Vec::new(),
+            used_elsewhere: 0.0,
+            last_token: 0,
         }
     }
 
@@ -567,32 +589,37 @@
             self.submit();
         }
         while self.now < self.size.end && self.violations.is_empty() {
-            self.now += self.size.step;
-            self.begin_planned();
-            if self.now < self.size.troubled {
-                self.trouble();
-                self.users();
-            } else if self.unfinished().is_empty() {
+            self.step();
+            if self.now >= self.size.troubled && self.unfinished().is_empty() {
                 break;
             }
-            self.tell_users();
-            while let Some((&key, _)) = self.queue.first_key_value() {
-                if key.0 > self.now {
-                    break;
-                }
-                if let Some(msg) = self.queue.remove(&key) {
-                    self.deliver(msg);
-                }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += self.size.step;
+        self.begin_planned();
+        if self.now < self.size.troubled {
+            self.trouble();
+            self.users();
+        }
+        self.tell_users();
+        while let Some((&key, _)) = self.queue.first_key_value() {
+            if key.0 > self.now {
+                break;
             }
-            self.step_store();
-            self.step_workers();
-            self.step_gangs();
-            for n in 0..self.nodes.len() {
-                self.step_node(n);
+            if let Some(msg) = self.queue.remove(&key) {
+                self.deliver(msg);
             }
-            self.check_cancelled();
-            self.check_waiting();
         }
+        self.step_store();
+        self.step_workers();
+        self.step_gangs();
+        for n in 0..self.nodes.len() {
+            self.step_node(n);
+        }
+        self.check_cancelled();
+        self.check_waiting();
     }
 
     /// Counts that something came about.
--- a/crates/latchtrack-core/tests/simulation/world/nodes.rs
+++ b/crates/latchtrack-core/tests/simulation/world/nodes.rs
@@ -112,6 +112,7 @@
         self.epoch += 1;
         self.terms += 1;
         let token = self.epoch;
+        self.last_token = token;
         self.leader = Some((n, token, self.now + TTL));
         let now = self.clock(n);
         let team = |name: &str, cpus_max| Team {
@@ -138,6 +139,7 @@
             calls_open: 16.max(self.size.capacity),
             value_bytes: self.kept_to.0,
             teams: vec![team("free", 0.0), team("limited", limit)],
+            quota_cell: self.cell.clone(),
             aimed: ["c", "d"].map(String::from).into(),
             prompt: vec![("d".into(), 1_000)],
             balance: self.balance_policy(token),
@@ -309,6 +311,14 @@
                     }
                 }
                 Effect::Note(_) => {}
+                Effect::WriteQuota(write) if self.may_act(n) => {
+                    let shared = federation::SharedWrite { node: n, run, token, write };
+                    self.shared_writes.push(shared);
+                }
+                Effect::WriteQuota(write) => {
+                    let event = Event::QuotaWritten { write, outcome: WriteOutcome::NotStored };
+                    self.post(500, Msg::Tell { node: n, run, token, event });
+                }
             }
         }
         answer
--- a/crates/latchtrack-core/tests/simulation/world/users.rs
+++ b/crates/latchtrack-core/tests/simulation/world/users.rs
@@ -80,6 +80,12 @@
                 Planned::Mistakes(many) => (0..many).for_each(|_| self.submit_with(1.0)),
                 Planned::Sick(share) => self.some(share, |w| w.sick = true),
                 Planned::Hang(share, ms) => self.some(share, |w| w.hang_until = now + ms),
+                Planned::RefuseAll(ms) => {
+                    for node in &mut self.nodes {
+                        node.refused_until = now + ms;
+                    }
+                }
+                Planned::LimitedBurst(many) => self.limited_burst(many),
                 Planned::RefuseLeader(ms) => self.nodes[leader].refused_until = now + ms,
                 Planned::Deaf(share, ms) => self.some(share, |w| w.deaf_until = now + ms),
                 Planned::Mute(share, ms) => self.some(share, |w| w.mute_until = now + ms),
@@ -226,7 +232,7 @@
         if self.chance(self.size.submits) {
             self.submit();
         }
-        if self.chance(0.002) {
+        if self.chance(self.size.cancels) {
             let open: Vec<JobId> = self
                 .jobs
                 .iter()
@@ -260,6 +266,51 @@
         }
     }
 
+    /// Jobs of one task each of the limited team, of which a quarter is cancelled in the same moment.
+    fn limited_burst(&mut self, many: usize) {
+        if self.now < self.store_down_until {
+            return;
+        }
+        for i in 0..many {
+            self.submit_limited(1, 1.0);
+            if i % 4 == 0 {
+                self.cancel(JobId(self.next_job));
+                self.meets("burst cancelled");
+            }
+        }
+    }
+
+    /// A job of the limited team.
+    pub fn submit_limited(&mut self, tasks: u32, cpus: f64) {
+        self.next_job += 1;
+        let spec = guest("limited", tasks, cpus, 10.0);
+        self.accept(JobSpec { id: JobId(self.next_job), team: "limited".into(), ..spec }, 0.0);
+    }
+
+    /// A gang of the limited team.
+    pub fn submit_limited_gang(&mut self, tasks: u32, cpus: f64) {
+        self.next_job += 1;
+        let spec = guest("limited", tasks, cpus, 10.0);
+        let id = JobId(self.next_job);
+        self.accept(JobSpec { id, team: "limited".into(), gang: true, ..spec }, 0.0);
+    }
+
+    /// A job of the team without a limit.
+    pub fn submit_free(&mut self, tasks: u32, cpus: f64) {
+        self.next_job += 1;
+        self.accept(JobSpec { id: JobId(self.next_job), ..guest("free", tasks, cpus, 10.0) }, 0.0);
+    }
+
+    /// Users cancel all jobs that are open.
+    pub fn cancel_all(&mut self) {
+        let open = |job: &Stored| matches!(job.state, State::Open { .. });
+        let ids: Vec<JobId> =
+            self.jobs.iter().filter(|(_, job)| open(job)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.cancel(id);
+        }
+    }
+
     pub(super) fn submit(&mut self) {
         self.submit_with(0.08);
     }
@@ -415,7 +466,8 @@
             .map(|(t, _, zone)| (*t, zone, self.jobs[&t.job].spec.demand.cpus))
             .collect();
         let limited = |t: &JobId| self.jobs[t].spec.team == "limited";
-        let used: f64 = live.iter().filter(|(t, ..)| limited(&t.job)).map(|(.., c)| c).sum();
+        let here: f64 = live.iter().filter(|(t, ..)| limited(&t.job)).map(|(.., c)| c).sum();
+        let used = here + self.used_elsewhere;
         let mut passed = BTreeSet::new();
         for (id, j) in &self.jobs {
             if !matches!(j.state, State::Open { .. }) || j.mistaken {
--- a/crates/latchtrack-core/tests/simulation/world/workers.rs
+++ b/crates/latchtrack-core/tests/simulation/world/workers.rs
@@ -178,7 +178,7 @@
         let spec = j.spec.clone();
         let on = |t: &WTask| matches!(t.phase, Phase::Waiting | Phase::Running | Phase::Saving);
         let mut zones = Vec::new();
-        let mut used = 0.0;
+        let mut used = self.used_elsewhere;
         let mut bad = Vec::new();
         for (other, w) in &self.workers {
             for ((t, _), state) in w.tasks.iter().filter(|(_, t)| on(t)) {
--- a/crates/latchtrack-quota/src/amounts.rs
+++ b/crates/latchtrack-quota/src/amounts.rs
@@ -11,11 +11,17 @@
 #[serde(default)]
 pub struct Amounts {
     /// Thousandths of a CPU.
+    #[serde(skip_serializing_if = "is_zero")]
     pub millicpus: u64,
     /// Thousandths of a GPU.
+    #[serde(skip_serializing_if = "is_zero")]
     pub milligpus: u64,
 }
 
+fn is_zero(amount: &u64) -> bool {
+    *amount == 0
+}
+
 impl Amounts {
     /// Nothing.
     pub const NONE: Amounts = Amounts { millicpus: 0, milligpus: 0 };
--- a/crates/latchtrack-quota/src/constants.rs
+++ b/crates/latchtrack-quota/src/constants.rs
@@ -15,6 +15,9 @@
 pub const DRIFT: f64 = 0.001;
 /// ms that a request may stand though it could be met; then any cell strikes it off.
 pub const REQUEST_STUCK_MS: Millis = 5_000;
+/// ms for which a cell whose need is met and that has not started it goes before others, whose needs are not: most
+/// boots are over by then, and nobody waits for 90 s for what another holds in vain. Then it takes a new ticket.
+pub const TURN_MS: Millis = 40_000;
 /// ms that an allotment lies idle before it is given back unasked: a cell with short pauses keeps what it has.
 pub const IDLE_RETURN_MS: Millis = 30_000;
 /// ms between two changes of a standing request that is still of use as it stands.
@@ -22,9 +25,9 @@
 /// Part of the limit by which a want must have changed for that.
 pub const WANT_CHANGE_PART: u64 = 8;
 /// ms between two writes of one team's value by one cell, so that a contended value is not only read again.
-pub const WRITE_GAP_MS: Millis = 200;
+pub const WRITE_GAP_MS: Millis = 500;
 /// ms after a write that was surely not carried out or met another's change.
-pub const RETRY_MS: Millis = 300;
+pub const RETRY_MS: Millis = 100;
 /// Writes that a cell begins in one step, whatever the number of teams: more wait for the next.
 pub const WRITES_A_STEP: usize = 4;
 /// Part of the limit that a cell takes beside what it can use while nobody else asks, so that not each new job
--- a/crates/latchtrack-quota/src/keeper.rs
+++ b/crates/latchtrack-quota/src/keeper.rs
@@ -43,6 +43,8 @@
     pub waiting: Amounts,
     /// What the next of them to start needs: a task, a slice or a gang.
     pub next: Amounts,
+    /// All that was started in this term.
+    pub started: Amounts,
 }
 
 /// What a cell may use of a team's limit; None is no limit.
@@ -55,6 +57,9 @@
 }
 
 impl LaunchLimit {
+    /// Nothing may be launched.
+    const NOTHING: LaunchLimit = LaunchLimit { millicpus: Some(0), milligpus: Some(0) };
+
     fn of(limit: &Limit, amounts: Amounts) -> LaunchLimit {
         LaunchLimit {
             millicpus: limit.millicpus.map(|_| amounts.millicpus),
@@ -203,6 +208,14 @@
     }
 }
 
+/// Since when the need of a request is met, and what the cell had started by then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Turn {
+    ticket: u64,
+    since: Millis,
+    started: Amounts,
+}
+
 /// A team in this cell.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Team {
@@ -218,6 +231,8 @@
     idle_since: Option<Millis>,
     not_before: Millis,
     refreshed: Option<Millis>,
+    turn: Option<Turn>,
+    no_need_until: Option<Millis>,
     stuck: StuckRequests,
     noted: Option<Notice>,
 }
@@ -243,13 +258,31 @@
         limit.counted(self.usage.used.plus(self.usage.waiting)).least(limit.total())
     }
 
-    /// What the next to start needs, unless the allotment covers it.
-    fn need(&self, limit: &Limit, allotted: Amounts) -> Amounts {
-        let need = limit.counted(self.usage.next).least(limit.total());
-        match need.fits_in(allotted) {
+    /// What the next to start needs; nothing for a while after it was held in vain.
+    fn need(&self, now: Millis, limit: &Limit) -> Amounts {
+        match self.no_need_until.is_some_and(|until| now < until) {
             true => Amounts::NONE,
-            false => need,
+            false => limit.counted(self.usage.next).least(limit.total()),
+        }
+    }
+
+    /// Whether a request has had its turn: its need was met until so much was started, or for long in vain.
+    fn has_had_its_turn(&mut self, now: Millis, request: &Request, allotted: Amounts) -> bool {
+        if request.need == Amounts::NONE || !request.need.fits_in(allotted) {
+            self.turn = None;
+            return false;
+        }
+        let begins = Turn { ticket: request.ticket, since: now, started: self.usage.started };
+        let turn = self.turn.filter(|turn| turn.ticket == request.ticket).unwrap_or(begins);
+        self.turn = Some(turn);
+        if request.need.fits_in(self.usage.started.minus(turn.started)) {
+            return true;
+        }
+        let is_in_vain = now >= turn.since.saturating_add(TURN_MS);
+        if is_in_vain {
+            self.no_need_until = Some(now.saturating_add(TURN_MS));
         }
+        is_in_vain
     }
 }
 
@@ -308,14 +341,18 @@
         }
         self.revision = view.revision;
         self.cells = view.cells;
-        self.set_launch_limits();
+        self.set_launch_limits(now);
         self.note_troubles();
     }
 
-    /// What the cell may use of a team's limit now; None if the team has no limit.
+    /// What the cell may use of a team's limit now; None if the team has no limit, here and in a value.
     pub fn launch_limit(&self, team: &str) -> Option<LaunchLimit> {
         let team = self.teams.get(team)?;
-        Some(LaunchLimit::of(&team.limit(), team.launch))
+        if matches!(team.known, Known::Unseen | Known::Unusable(..)) {
+            return Some(LaunchLimit::NOTHING);
+        }
+        let limit = team.limit();
+        limit.is_set().then(|| LaunchLimit::of(&limit, team.launch))
     }
 
     /// The cell's part of a team's guarantee; None if the team is not shared.
@@ -329,7 +366,7 @@
         for (name, team) in &mut self.teams {
             team.usage = uses.get(name).copied().unwrap_or_default();
         }
-        self.set_launch_limits();
+        self.set_launch_limits(now);
         let names: Vec<String> = self.teams.keys().cloned().collect();
         let mut writes = Vec::new();
         let first = self.first % names.len().max(1);
@@ -373,7 +410,7 @@
                 }
             }
         }
-        self.set_launch_limits();
+        self.set_launch_limits(now);
     }
 
     /// What there is to tell since the last call.
@@ -404,7 +441,7 @@
             .collect()
     }
 
-    fn set_launch_limits(&mut self) {
+    fn set_launch_limits(&mut self, now: Millis) {
         let cell = &self.cell;
         for team in self.teams.values_mut() {
             let held = team.held(cell);
@@ -414,10 +451,10 @@
             if !ledger.complete || ledger.is_overdrawn() {
                 continue;
             }
-            let standings = Standings::of(ledger, cell, own_claim(ledger, cell, team));
-            team.guarantee = standings.guarantee;
+            let standings = Standings::of(ledger, cell, own_claim(now, ledger, cell, team));
+            team.guarantee = standings.target().guarantee;
             team.launch = match standings.others_lack() {
-                true => held.least(standings.target()),
+                true => held.least(standings.target().total()),
                 false => held,
             };
         }
@@ -450,6 +487,9 @@
 
     /// A new value, with what this cell runs.
     fn create(&self, team: &Team) -> Option<TeamLedger> {
+        if !team.terms.limit.is_set() {
+            return None;
+        }
         let mut ledger = TeamLedger::new(team.terms.limit, team.terms.guarantee);
         self.enter(&mut ledger, team)?;
         Some(ledger)
@@ -507,15 +547,20 @@
         let team = self.teams.get_mut(name)?;
         let Known::Value(_, ledger) = &team.known else { return None };
         let ledger = ledger.clone();
-        let standings = Standings::of(&ledger, &cell, own_claim(&ledger, &cell, team));
+        let standings = Standings::of(&ledger, &cell, own_claim(now, &ledger, &cell, team));
         let stuck = team.stuck.observe(now, &standings);
         if !team.usage.is_settled {
             return None;
         }
         let held = ledger.limit.counted(ledger.allotted_to(&cell));
-        let used = ledger.limit.counted(team.usage.used);
-        let want = team.want(&ledger.limit);
-        let allotted = next_allotment(now, team, &ledger, &standings, held, used, want);
+        let situation = Situation {
+            now,
+            ledger: &ledger,
+            standings: &standings,
+            used: ledger.limit.counted(team.usage.used),
+            want: team.want(&ledger.limit),
+        };
+        let allotted = situation.next_allotment(team, held);
         let mut next = ledger.clone();
         for other in &stuck {
             if let Some(account) = next.cells.get_mut(other) {
@@ -524,7 +569,7 @@
         }
         let account = ledger.cells.get(&cell);
         let standing = account.and_then(|account| account.request.as_ref());
-        let request = next_request(now, team, &ledger, &mut next, standing, allotted, want);
+        let request = situation.next_request(team, standing, allotted, &mut next.next_ticket);
         if account.is_some() || allotted != Amounts::NONE || request.is_some() {
             let account = next.cells.entry(cell).or_default();
             if account.allotted != allotted {
@@ -567,6 +612,7 @@
     let name = name.to_string();
     match &team.known {
         Known::Unseen => None,
+        Known::Missing(_) if !team.terms.limit.is_set() => None,
         Known::Missing(_) => Some(Notice::Missing { team: name }),
         Known::Unusable(_, why) => Some(Notice::Unusable { team: name, why: why.clone() }),
         Known::Value(_, ledger) if ledger.is_overdrawn() => Some(Notice::Overdrawn { team: name }),
@@ -585,76 +631,80 @@
 }
 
 /// What this cell claims of a value now. A request that it does not have yet is the newest.
-fn own_claim(ledger: &TeamLedger, cell: &str, team: &Team) -> Claim {
+fn own_claim(now: Millis, ledger: &TeamLedger, cell: &str, team: &Team) -> Claim {
     let want = team.want(&ledger.limit);
     let account = ledger.cells.get(cell);
     let standing = account.and_then(|account| account.request.as_ref());
-    let held = ledger.allotted_to(cell);
-    let asks = !want.fits_in(held);
-    let ticket = standing.map(|request| request.ticket).unwrap_or(ledger.next_ticket);
-    Claim { ticket: asks.then_some(ticket), need: team.need(&ledger.limit, held), want }
+    let asks = team.usage.waiting != Amounts::NONE;
+    let (ticket, need) = match standing {
+        Some(request) => (request.ticket, request.need),
+        None => (ledger.next_ticket, team.need(now, &ledger.limit)),
+    };
+    Claim { ticket: asks.then_some(ticket), need, want }
 }
 
-/// What the cell should hold, never less than it uses.
-fn next_allotment(
+/// A value that is complete, as one cell sees it at a moment.
+struct Situation<'a> {
     now: Millis,
-    team: &mut Team,
-    ledger: &TeamLedger,
-    standings: &Standings,
-    held: Amounts,
+    ledger: &'a TeamLedger,
+    standings: &'a Standings,
     used: Amounts,
     want: Amounts,
-) -> Amounts {
-    let headroom = ledger.limit.total().part(HEADROOM_PART);
-    let is_idle = !held.fits_in(want.plus(headroom));
-    let idle_since = match (is_idle, team.idle_since) {
-        (true, since) => Some(since.unwrap_or(now)),
-        (false, _) => None,
-    };
-    team.idle_since = idle_since;
-    if ledger.is_overdrawn() || standings.others_lack() {
-        let kept = match ledger.is_overdrawn() {
-            true => used,
-            false => used.most(standings.target()),
-        };
-        return held.least(kept);
-    }
-    let idle_for_long = idle_since.is_some_and(|since| now >= since + IDLE_RETURN_MS);
-    if idle_for_long {
-        return held.least(used.most(want));
-    }
-    let taken = standings.may_take();
-    if taken == Amounts::NONE || standings.is_contended() {
-        return held.plus(taken);
-    }
-    // A little more, which nobody asks for, so that not each new job is a write.
-    held.plus(taken.plus(headroom).least(ledger.free()))
 }
 
-/// The request that the cell should have beside an allotment.
-fn next_request(
-    now: Millis,
-    team: &Team,
-    ledger: &TeamLedger,
-    next: &mut TeamLedger,
-    standing: Option<&Request>,
-    allotted: Amounts,
-    want: Amounts,
-) -> Option<Request> {
-    if want.fits_in(allotted) {
-        return None;
+impl Situation<'_> {
+    /// What the cell should hold, never less than it uses.
+    fn next_allotment(&self, team: &mut Team, held: Amounts) -> Amounts {
+        let headroom = self.ledger.limit.total().part(HEADROOM_PART);
+        let is_idle = !held.fits_in(self.want.plus(headroom));
+        team.idle_since = is_idle.then(|| team.idle_since.unwrap_or(self.now));
+        if self.ledger.is_overdrawn() {
+            return held.least(self.used);
+        }
+        let target = self.standings.target().total();
+        if self.standings.others_lack() && !held.fits_in(target) {
+            return held.least(self.used.most(target));
+        }
+        if team.idle_since.is_some_and(|since| self.now >= since + IDLE_RETURN_MS) {
+            return held.least(self.used.most(self.want));
+        }
+        let taken = self.standings.may_take();
+        if taken == Amounts::NONE || self.standings.is_contended() {
+            return held.plus(taken);
+        }
+        // A little more, which nobody asks for, so that not each new job is a write.
+        held.plus(taken.plus(headroom).least(self.ledger.free()))
     }
-    let need = team.need(&ledger.limit, allotted);
-    let Some(standing) = standing else {
-        return Some(renewed(None, need, want, &mut next.next_ticket));
-    };
-    let total = ledger.limit.total();
-    let tolerated = total.part(WANT_CHANGE_PART);
-    let change = want.minus(standing.want).most(standing.want.minus(want));
-    let is_of_use = need == standing.need && change.fits_in(tolerated);
-    let is_fresh = team.refreshed.is_some_and(|at| now < at.saturating_add(REQUEST_REFRESH_MS));
-    if is_of_use || (is_fresh && need.fits_in(standing.need)) {
-        return Some(standing.clone());
+
+    /// The request that the cell should have beside an allotment.
+    fn next_request(
+        &self,
+        team: &mut Team,
+        standing: Option<&Request>,
+        allotted: Amounts,
+        next_ticket: &mut u64,
+    ) -> Option<Request> {
+        let is_covered = self.want.fits_in(allotted);
+        if !self.standings.is_contended() && is_covered {
+            // Whether it stands or not: nobody else asks.
+            return standing.cloned();
+        }
+        if team.usage.waiting == Amounts::NONE {
+            return None;
+        }
+        let had_its_turn =
+            standing.is_some_and(|request| team.has_had_its_turn(self.now, request, allotted));
+        let need = team.need(self.now, &self.ledger.limit);
+        let Some(standing) = standing.filter(|_| !had_its_turn) else {
+            return Some(renewed(None, need, self.want, next_ticket));
+        };
+        let tolerated = self.ledger.limit.total().part(WANT_CHANGE_PART);
+        let change = self.want.minus(standing.want).most(standing.want.minus(self.want));
+        let is_of_use = need == standing.need && change.fits_in(tolerated);
+        let is_fresh = |at: Millis| self.now < at.saturating_add(REQUEST_REFRESH_MS);
+        if is_of_use || team.refreshed.is_some_and(is_fresh) {
+            return Some(standing.clone());
+        }
+        Some(renewed(Some(standing), need, self.want, next_ticket))
     }
-    Some(renewed(Some(standing), need, want, &mut next.next_ticket))
 }
--- a/crates/latchtrack-quota/src/lib.rs
+++ b/crates/latchtrack-quota/src/lib.rs
@@ -20,7 +20,7 @@
 pub use cells::CellRecord;
 pub use keeper::{Keeper, KeeperSettings, LaunchLimit, Notice, TeamSummary, TeamTerms, TeamUse};
 pub use ledger::{Account, LedgerError, Request, TeamLedger};
-pub use targets::{guarantee_parts, targets, Claim};
+pub use targets::{guarantee_parts, targets, Claim, Target};
 pub use view::{DeadCell, LedgerWrite, Presence, SeenLedger, View, WriteOutcome};
 
 /// Milliseconds on the local steady clock.
--- a/crates/latchtrack-quota/src/requests.rs
+++ b/crates/latchtrack-quota/src/requests.rs
@@ -5,7 +5,7 @@
 use crate::amounts::Amounts;
 use crate::constants::REQUEST_STUCK_MS;
 use crate::ledger::{Request, TeamLedger};
-use crate::targets::{guarantee_parts, targets, Claim};
+use crate::targets::{targets, Claim, Target};
 use crate::Millis;
 
 /// A cell's claim with its target and what it holds.
@@ -14,15 +14,15 @@
     cell: String,
     ticket: Option<u64>,
     held: Amounts,
-    target: Amounts,
+    target: Target,
 }
 
 impl Standing {
-    /// What it lacks of its target, if it asks for more.
-    fn lacks(&self) -> Amounts {
+    /// What it lacks of each part of its target, if it asks for more.
+    fn lacks(&self) -> [Amounts; 3] {
         match self.ticket {
-            Some(_) => self.target.minus(self.held),
-            None => Amounts::NONE,
+            Some(_) => self.target.lacks(self.held),
+            None => [Amounts::NONE; 3],
         }
     }
 }
@@ -30,11 +30,9 @@
 /// The claims of a value as one cell sees them, its own as it is now and those of the others as stored.
 #[derive(Clone, Debug)]
 pub(crate) struct Standings {
-    others: Vec<Standing>,
-    own: Standing,
+    /// The own first.
+    all: Vec<Standing>,
     free: Amounts,
-    /// Its own part of the guarantee.
-    pub guarantee: Amounts,
 }
 
 impl Standings {
@@ -54,58 +52,67 @@
             });
         }
         let targets = targets(&ledger.limit, ledger.guarantee, &claims);
-        let parts = guarantee_parts(&ledger.limit, ledger.guarantee, &claims);
-        let standing = |i: usize| Standing {
-            cell: names[i].clone(),
-            ticket: claims[i].ticket,
-            held: ledger.limit.counted(ledger.allotted_to(&names[i])),
-            target: targets[i],
+        let standing = |((cell, claim), target): ((String, Claim), Target)| Standing {
+            held: ledger.limit.counted(ledger.allotted_to(&cell)),
+            cell,
+            ticket: claim.ticket,
+            target,
         };
-        Standings {
-            others: (1..names.len()).map(standing).collect(),
-            own: standing(0),
-            free: ledger.free(),
-            guarantee: parts[0],
-        }
+        let all = names.into_iter().zip(claims).zip(targets).map(standing).collect();
+        Standings { all, free: ledger.free() }
+    }
+
+    fn others(&self) -> &[Standing] {
+        &self.all[1..]
     }
 
     /// The target of the cell itself.
-    pub fn target(&self) -> Amounts {
-        self.own.target
+    pub fn target(&self) -> Target {
+        self.all[0].target
     }
 
     /// Whether others lack what is not free.
     pub fn others_lack(&self) -> bool {
-        let lack = self.others.iter().fold(Amounts::NONE, |sum, other| sum.plus(other.lacks()));
-        !lack.fits_in(self.free)
+        let lacks = self.others().iter().flat_map(Standing::lacks);
+        !lacks.fold(Amounts::NONE, Amounts::plus).fits_in(self.free)
     }
 
     /// Whether any other cell asks for more.
     pub fn is_contended(&self) -> bool {
-        self.others.iter().any(|other| other.ticket.is_some())
+        self.others().iter().any(|other| other.ticket.is_some())
     }
 
-    /// What the cell may take now: what is free, less what older requests still lack.
+    /// What the cell may take now.
     pub fn may_take(&self) -> Amounts {
-        let ahead = |other: &&Standing| other.ticket < self.own.ticket;
-        let older = self.others.iter().filter(ahead);
-        let lack = older.fold(Amounts::NONE, |sum, other| sum.plus(other.lacks()));
-        self.own.target.minus(self.own.held).least(self.free.minus(lack))
+        self.shares_of_free()[0]
+    }
+
+    /// What is free, as it goes to the claims: the parts of the targets in their order, each by ticket.
+    fn shares_of_free(&self) -> Vec<Amounts> {
+        let mut order: Vec<usize> = (0..self.all.len()).collect();
+        order.sort_by_key(|i| self.all[*i].ticket);
+        let mut free = self.free;
+        let mut out = vec![Amounts::NONE; self.all.len()];
+        for part in 0..3 {
+            for i in &order {
+                let taken = self.all[*i].lacks()[part].least(free);
+                out[*i] = out[*i].plus(taken);
+                free = free.minus(taken);
+            }
+        }
+        out
     }
 
     /// Requests of others that could be met as things are.
     fn could_be_met(&self) -> Vec<(String, u64)> {
-        let mut free = self.free;
-        let mut pending: Vec<(u64, &Standing)> =
-            self.others.iter().filter_map(|other| Some((other.ticket?, other))).collect();
-        pending.sort_by_key(|(ticket, _)| *ticket);
+        let shares = self.shares_of_free();
         let mut out = Vec::new();
-        for (ticket, other) in pending {
-            let lacks = other.lacks();
-            if lacks != Amounts::NONE && lacks.fits_in(free) {
+        for (other, share) in self.others().iter().zip(&shares[1..]) {
+            let lacks = other.lacks().into_iter().fold(Amounts::NONE, Amounts::plus);
+            if let Some(ticket) = other.ticket.filter(|_| lacks != Amounts::NONE && lacks == *share)
+            {
                 out.push((other.cell.clone(), ticket));
             }
-            free = free.minus(lacks);
         }
         out
     }
--- a/crates/latchtrack-quota/src/targets.rs
+++ b/crates/latchtrack-quota/src/targets.rs
@@ -13,36 +13,59 @@
     pub want: Amounts,
 }
 
+/// What a claim is to get, by the reason; earlier reasons are served first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Target {
+    /// Its part of the guarantee.
+    pub guarantee: Amounts,
+    /// What its need takes beyond that.
+    pub need: Amounts,
+    /// Its even share of the rest.
+    pub share: Amounts,
+}
+
+impl Target {
+    /// All of it.
+    pub fn total(&self) -> Amounts {
+        self.guarantee.plus(self.need).plus(self.share)
+    }
+
+    /// What of each part is not covered by what is held.
+    pub(crate) fn lacks(&self, held: Amounts) -> [Amounts; 3] {
+        let with_need = self.guarantee.plus(self.need);
+        [
+            self.guarantee.minus(held),
+            self.need.minus(held.minus(self.guarantee)),
+            self.share.minus(held.minus(with_need)),
+        ]
+    }
+}
+
 /// The target of each claim. Together they never pass the limit.
 ///
 /// First claims that fit into the guarantee, those that ask for nothing before the others and these by
 /// ticket; then the needs by ticket, each whole or not at all; the rest evenly over the wants.
-pub fn targets(limit: &Limit, guarantee: Amounts, claims: &[Claim]) -> Vec<Amounts> {
+pub fn targets(limit: &Limit, guarantee: Amounts, claims: &[Claim]) -> Vec<Target> {
     let mut left = limit.total();
-    let mut out = guarantee_parts(limit, guarantee, claims);
-    for part in &out {
-        left = left.minus(*part);
+    let mut out = vec![Target::default(); claims.len()];
+    for (target, part) in out.iter_mut().zip(guarantee_parts(limit, guarantee, claims)) {
+        target.guarantee = part;
+        left = left.minus(part);
     }
-    for i in by_ticket(claims) {
-        if claims[i].ticket.is_none() {
-            continue;
-        }
-        let lacking = limit.counted(claims[i].need).minus(out[i]);
+    for i in by_ticket(claims).into_iter().filter(|i| claims[*i].ticket.is_some()) {
+        let lacking = limit.counted(claims[i].need).minus(out[i].guarantee);
         if lacking.fits_in(left) {
-            out[i] = out[i].plus(lacking);
+            out[i].need = lacking;
             left = left.minus(lacking);
         }
     }
-    let open: Vec<Amounts> = claims
-        .iter()
-        .zip(&out)
-        .map(|(claim, target)| limit.counted(claim.want).minus(*target))
-        .collect();
-    let base: Vec<Amounts> = out.clone();
+    let base: Vec<Amounts> = out.iter().map(Target::total).collect();
+    let wants = claims.iter().map(|claim| limit.counted(claim.want));
+    let open: Vec<Amounts> = wants.zip(&base).map(|(want, base)| want.minus(*base)).collect();
     let cpus = even(left.millicpus, &base, &open, |amounts| amounts.millicpus);
     let gpus = even(left.milligpus, &base, &open, |amounts| amounts.milligpus);
     for (target, (millicpus, milligpus)) in out.iter_mut().zip(cpus.into_iter().zip(gpus)) {
-        *target = target.plus(Amounts { millicpus, milligpus });
+        target.share = Amounts { millicpus, milligpus };
     }
     out
 }
--- a/crates/latchtrack/src/actors/election.rs
+++ b/crates/latchtrack/src/actors/election.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use actix::prelude::*;
+use latchtrack_quota::CellRecord;
 use rand::Rng;
 
 use super::job_cache::{JobCache, Leading};
@@ -10,6 +11,8 @@
 use super::store::{self, Class, Reply, Store, StoreError, StoreRequest};
 use crate::clock::now_ms;
 use crate::constants::*;
+use crate::settings::Settings;
+use crate::wire::quota::{campaign_changes, term_key};
 use crate::wire::records::{LeaderRecord, LEADER};
 use crate::wire::store::{Change, Condition, Txn};
 
@@ -28,6 +31,55 @@
 #[rtype(result = "()")]
 pub struct Deposed(pub u64);
 
+/// A cell, and what its leaders store of it.
+#[derive(Clone, Debug)]
+pub struct Cell {
+    pub name: String,
+    pub record: CellRecord,
+}
+
+/// Why a node may not stand for its cell.
+#[derive(Debug, thiserror::Error)]
+pub enum NotThisCell {
+    #[error("the state service: {0}")]
+    Store(#[from] StoreError),
+    #[error("its record is garbled, and is not overwritten")]
+    Garbled,
+    #[error("the name is in use with the cloud at {0}")]
+    OtherCloud(String),
+}
+
+impl Cell {
+    /// The cell of these settings, if they name one.
+    pub fn of(settings: &Settings) -> Option<Cell> {
+        let quota = settings.tuning.quota.as_ref()?;
+        let record = CellRecord {
+            cloud: settings.platform.services.cloud.to_string(),
+            leader_lease_ms: settings.leader_ttl_ms(),
+            worker_lease_ms: settings.policy().lease_ms,
+        };
+        Some(Cell { name: quota.cell.clone(), record })
+    }
+
+    /// The revision of the stored record, 0 if there is none. Another cloud's is refused: two deployments
+    /// under one name would each take the other's leaders for its own.
+    pub async fn known_term(&self, store: &Addr<Store>) -> Result<u64, NotThisCell> {
+        let request = StoreRequest::Get { key: term_key(&self.name) };
+        let item = match store::request(store, Class::Lease, request, 2_000).await {
+            Ok(store::Answered { reply: Reply::Item(item), .. }) => item,
+            Ok(_) => return Err(StoreError::Unknown.into()),
+            Err(StoreError::NotFound) => return Ok(0),
+            Err(e) => return Err(e.into()),
+        };
+        let known: CellRecord =
+            serde_json::from_str(item.value.get()).map_err(|_| NotThisCell::Garbled)?;
+        match known.cloud == self.record.cloud {
+            true => Ok(item.version),
+            false => Err(NotThisCell::OtherCloud(known.cloud)),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Term {
     token: u64,
@@ -42,6 +94,8 @@
     node: String,
     run: u64,
     ttl_ms: u64,
+    /// The cell that this node would lead, where several share teams.
+    cell: Option<Cell>,
     seen: Option<Option<(LeaderRecord, u64)>>,
     /// The lease of a campaign whose outcome is not known yet.
     candidate: Option<u64>,
@@ -66,6 +120,7 @@
         leader: Addr<Leader>,
         node: String,
         ttl_ms: u64,
+        cell: Option<Cell>,
     ) -> Self {
         Election {
             store,
@@ -74,6 +129,7 @@
             node,
             run: rand::rng().random::<u64>() >> 12,
             ttl_ms,
+            cell,
             seen: None,
             candidate: None,
             term: None,
@@ -160,7 +216,8 @@
         }
         let (store, node, run, ttl_ms) =
             (self.store.clone(), self.node.clone(), self.run, self.ttl_ms);
-        let work = async move { stand(&store, node, run, ttl_ms).await };
+        let cell = self.cell.clone();
+        let work = async move { stand(&store, node, run, ttl_ms, cell).await };
         ctx.spawn(work.into_actor(self).map(|result, act, ctx| {
             act.busy = false;
             match result {
@@ -252,18 +309,41 @@
     }
 }
 
-/// One campaign: a lease, then the key under it if there is none.
-async fn stand(store: &Addr<Store>, node: String, run: u64, ttl_ms: u64) -> Campaign {
+/// One campaign: a lease, then the key under it if there is none. A cell's records go with it.
+async fn stand(
+    store: &Addr<Store>,
+    node: String,
+    run: u64,
+    ttl_ms: u64,
+    cell: Option<Cell>,
+) -> Campaign {
+    let term = match &cell {
+        Some(cell) => match cell.known_term(store).await {
+            Ok(revision) => Some(Condition { key: term_key(&cell.name), version: revision }),
+            Err(why) => {
+                tracing::error!("not standing for cell {}: {why}", cell.name);
+                return Campaign::Failed;
+            }
+        },
+        None => None,
+    };
     let granted = store::request(store, Class::Lease, StoreRequest::Grant { ttl_ms }, 2_000).await;
     let Ok(store::Answered { reply: Reply::Lease(lease), sent_at }) = granted else {
         return Campaign::Failed;
     };
     let record = LeaderRecord { node, run, lease };
     let Ok(value) = serde_json::value::to_raw_value(&record) else { return Campaign::Failed };
-    let txn = Txn {
+    let mut txn = Txn {
         conditions: vec![Condition { key: LEADER.into(), version: 0 }],
         changes: vec![Change::Put { key: LEADER.into(), value, lease: Some(lease) }],
     };
+    txn.conditions.extend(term);
+    if let Some(cell) = &cell {
+        let Ok(changes) = campaign_changes(&cell.name, &cell.record, lease) else {
+            return Campaign::Failed;
+        };
+        txn.changes.extend(changes);
+    }
     match store::request(store, Class::Lease, StoreRequest::Txn(txn), 2_000).await {
         Ok(store::Answered { reply: Reply::Applied(token), .. }) => {
             let valid_until = Election::valid_until(ttl_ms, sent_at);
--- a/crates/latchtrack/src/actors/leader.rs
+++ b/crates/latchtrack/src/actors/leader.rs
@@ -11,12 +11,14 @@
     CallOutcome, Cluster, Effect, Event, HireOutcome, Policy, SaveOutcome, Stamps, Write,
 };
 use latchtrack_core::machine::{Command, MachineType, Report};
+use latchtrack_quota::WriteOutcome;
 
 use super::cloud::{Cloud, CloudRequest};
 use super::election::{Deposed, Election, Resign};
 use super::intake::Types;
 use super::job_cache::{Counts, JobCache, Learn};
 use super::peers::{Peers, Tell};
+use super::quota::{self, Quota, QuotaTerm};
 use super::store::{self, Class, Reply, Store, StoreError, StoreRequest};
 use super::stored::{conflict, read_stored_state, transaction, StoredState};
 use crate::clock::{self, now_ms};
@@ -111,6 +113,8 @@
     cloud: Addr<Cloud>,
     peers: Addr<Peers>,
     election: Option<Addr<Election>>,
+    /// Only where cells share teams.
+    quota: Option<Addr<Quota>>,
     client: awc::Client,
     node: String,
     policy: Policy,
@@ -139,6 +143,11 @@
 #[rtype(result = "()")]
 pub struct ElectionAt(pub Addr<Election>);
 
+/// Where what cells share is read and written.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct QuotaAt(pub Addr<Quota>);
+
 impl Leader {
     pub fn new(
         store: Addr<Store>,
@@ -153,6 +162,7 @@
             cloud,
             peers,
             election: None,
+            quota: None,
             client: http_client(settings.policy().calls_open),
             node: settings.platform.node_name.clone(),
             policy: settings.policy(),
@@ -242,6 +252,13 @@
                     }
                 }
                 Effect::Note(text) => tracing::info!("{text}"),
+                Effect::WriteQuota(write) => match &self.quota {
+                    Some(quota) if may_act => quota.do_send(quota::Change { token, write }),
+                    _ => self.put_off(
+                        Event::QuotaWritten { write, outcome: WriteOutcome::NotStored },
+                        ctx,
+                    ),
+                },
             }
         }
         answer
@@ -503,6 +520,13 @@
     }
 }
 
+impl Handler<QuotaAt> for Leader {
+    type Result = ();
+    fn handle(&mut self, msg: QuotaAt, _: &mut Self::Context) {
+        self.quota = Some(msg.0);
+    }
+}
+
 impl Handler<Leadership> for Leader {
     type Result = ();
     fn handle(&mut self, msg: Leadership, ctx: &mut Self::Context) {
@@ -513,6 +537,9 @@
         }
         self.term = msg.0;
         self.cloud.do_send(Leadership(msg.0));
+        if let Some(quota) = &self.quota {
+            quota.do_send(QuotaTerm(msg.0.map(|term| term.token)));
+        }
         self.build(ctx);
     }
 }
@@ -604,6 +631,7 @@
                 cpus: s.cpus,
                 cpus_running: s.cpus_running,
                 balance: c.balance_summary().map(Into::into),
+                quota: c.quota_summary().map(|teams| teams.into_iter().map(Into::into).collect()),
             }
         });
         View(NodeView { served: msg.served, leader: self.leader_name.clone(), cluster })
--- a/crates/latchtrack/src/actors/store.rs
+++ b/crates/latchtrack/src/actors/store.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use tokio::sync::oneshot;
 
+use super::namespace::Namespace;
 use super::pacing::{Bucket, WriteLimits, WriteShare};
 use crate::clock::now_ms;
 use crate::constants::*;
@@ -127,6 +128,7 @@
 pub struct Store {
     client: awc::Client,
     base: String,
+    namespace: Namespace,
     rps: f64,
     nodes: f64,
     requests: Bucket,
@@ -143,8 +145,10 @@
         let p = &settings.platform;
         let state = &p.params.state;
         // Nothing that is lost by it needs more reads than the lower limit allows.
-        let rps = state.lower_rps();
-        let limits = WriteLimits { now: state.write_rps, lower: state.lower_write_rps() };
+        let cells = settings.cells() as f64;
+        let rps = state.lower_rps() / cells;
+        let limits =
+            WriteLimits { now: state.write_rps / cells, lower: state.lower_write_rps() / cells };
         let nodes = settings.nodes() as f64;
         let share = LIMIT_USED / (nodes + 1.0);
         let now = now_ms();
@@ -152,6 +156,7 @@
         Store {
             client: http_client(STORE_OPEN),
             base: format!("http://{}", p.services.state),
+            namespace: Namespace::new(settings.key_prefix()),
             rps,
             nodes,
             requests: Bucket::new(rps * share, rps * share, now),
@@ -232,6 +237,7 @@
         let call = self.call(&w.request.request);
         ctx.spawn(call.into_actor(self).map(move |result, act, ctx| {
             act.open -= 1;
+            let result = result.map(|reply| act.namespace.inner_reply(reply));
             // Others burst too: it was surely not executed, and has its turn again if there is time.
             let over = matches!(&result, Err(e) if *e == OVER);
             if over && now_ms() + OVER_WAIT_MS < w.request.deadline {
@@ -256,8 +262,11 @@
         let client = self.client.clone();
         let timeout = request.timeout();
         let base = &self.base;
+        let key = self.namespace.outer_of(request).unwrap_or_default();
         match request.clone() {
-            StoreRequest::List { prefix, from } => {
+            StoreRequest::List { from, .. } => {
+                let prefix = key;
+                let from = from.map(|from| self.namespace.outer(&from));
                 let mut url = format!("{base}/store?prefix={prefix}&most=1000");
                 if let Some(from) = from {
                     url.push_str("&from=");
@@ -268,15 +277,15 @@
                     read(status, &body).map(Reply::Page)
                 })
             }
-            StoreRequest::Get { key } => {
+            StoreRequest::Get { .. } => {
                 let url = format!("{base}/store/{key}");
                 Box::pin(async move {
                     let (status, body) = get(&client, &url, timeout).await?;
                     read(status, &body).map(Reply::Item)
                 })
             }
-            StoreRequest::Changes { prefix, from } => {
-                let url = format!("{base}/watch?prefix={prefix}&from={from}&wait_ms=0");
+            StoreRequest::Changes { from, .. } => {
+                let url = format!("{base}/watch?prefix={key}&from={from}&wait_ms=0");
                 Box::pin(async move {
                     let (status, body) = get(&client, &url, timeout).await?;
                     read(status, &body).map(Reply::Changes)
@@ -284,6 +293,7 @@
             }
             StoreRequest::Txn(txn) => {
                 let url = format!("{base}/txn");
+                let txn = self.namespace.outer_txn(txn);
                 Box::pin(async move {
                     let (status, body) = post(&client, &url, &txn, timeout).await?;
                     if status == StatusCode::CONFLICT {
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -151,3 +151,22 @@
 pub const NAME_CHARS: usize = 200;
 /// Messages an actor's mailbox holds.
 pub const MAILBOX: usize = 1_024;
+
+/// Prefix of the keys of a cell, with its name and a slash behind it.
+pub const CELLS_PREFIX: &str = "cells/";
+/// Most bytes of a cell's and a team's name where cells share teams: the service takes keys of 200 bytes.
+pub const CELL_NAME_BYTES: usize = 64;
+pub const TEAM_NAME_BYTES: usize = 150;
+/// Changes of a campaign where cells share teams: the leader key and the two records of the cell.
+pub const CAMPAIGN_CHANGES: usize = 3;
+/// Bytes of a team's value without accounts, and of an account beside the cell's name, with numbers of the
+/// greatest length that is in use.
+pub const LEDGER_BYTES: usize = 260;
+pub const ACCOUNT_BYTES: usize = 240;
+/// ms between two looks of a leader at what cells share: with a step of the keeper at each, what another
+/// cell holds idle is had within the bound of docs/quota.md.
+pub const QUOTA_LOOK_MS: u64 = 250;
+/// ms after which everything that cells share is read again, should a watch have skipped something.
+pub const QUOTA_FULL_MS: u64 = 30_000;
+/// ms that a change of what cells share may wait for its turn.
+pub const QUOTA_WAIT_MS: u64 = 5_000;
--- a/crates/latchtrack/src/settings/check.rs
+++ b/crates/latchtrack/src/settings/check.rs
@@ -18,7 +18,7 @@
     Range(&'static str, String),
 }
 
-fn bad<T>(name: &'static str, why: impl Into<String>) -> Result<T, BadSettings> {
+pub(super) fn bad<T>(name: &'static str, why: impl Into<String>) -> Result<T, BadSettings> {
     Err(BadSettings::Range(name, why.into()))
 }
 
@@ -45,6 +45,7 @@
     pub fn check(&self) -> Result<(), BadSettings> {
         self.check_platform()?;
         self.check_tuning()?;
+        self.check_quota()?;
         self.check_leases()
     }
 
--- a/crates/latchtrack/src/settings/mod.rs
+++ b/crates/latchtrack/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod platform;
+mod quota;
 mod tuning;
 
 use std::collections::BTreeMap;
@@ -14,6 +15,7 @@
 
 pub use check::BadSettings;
 pub use platform::*;
+pub use quota::QuotaTuning;
 pub use tuning::{parse_tuning, BalanceTuning, Tuning};
 
 use crate::constants as c;
@@ -79,6 +81,7 @@
             value_bytes: self.platform.params.state.value_bytes(),
             prompt: self.prompt(),
             balance: t.balance.policy(),
+            quota_cell: t.quota.as_ref().map(|quota| quota.cell.clone()),
             aimed: self.platform.params.objectives.iter().map(|o| o.class.clone()).collect(),
             aims: self.platform.params.objectives.iter().filter_map(Objective::aim).collect(),
             teams: self
--- a/crates/latchtrack/src/settings/tuning.rs
+++ b/crates/latchtrack/src/settings/tuning.rs
@@ -5,6 +5,8 @@
 use latchtrack_core::leader::BalancePolicy;
 use serde::{Deserialize, Serialize};
 
+use super::quota::QuotaTuning;
+
 /// The operators' file: every key optional, unknown keys refused.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -33,6 +35,8 @@
     pub leader_lease_s: Option<f64>,
     /// Load balancing.
     pub balance: BalanceTuning,
+    /// The cells that share the teams' limits; without it this deployment has them alone.
+    pub quota: Option<QuotaTuning>,
 }
 
 /// What of load balancing is switched on: see docs/balance.md.
@@ -115,6 +119,7 @@
             settle_s: s(core::SETTLE_MS),
             leader_lease_s: None,
             balance: BalanceTuning::default(),
+            quota: None,
         }
     }
 }
--- a/crates/latchtrack/src/wire/mod.rs
+++ b/crates/latchtrack/src/wire/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cloud;
 pub mod peers;
+pub mod quota;
 pub mod records;
 pub mod status;
 pub mod store;
--- /dev/null
+++ b/crates/latchtrack/src/wire/quota.rs
@@ -0,0 +1,107 @@
+//! What cells share in the state service: keys, and the values under them. A published format.
+
+use std::collections::BTreeMap;
+
+use latchtrack_quota::{CellRecord, LedgerWrite, Presence, SeenLedger, TeamLedger, View};
+use serde_json::value::{to_raw_value, RawValue};
+
+use super::records::LEADER;
+use super::store::{Change, Condition, Txn};
+
+/// Prefix of all that cells share.
+pub const SHARED: &str = "quota/";
+/// Prefix of the teams' values.
+const TEAMS: &str = "quota/team/";
+/// Prefix of the keys that stand while a cell is led.
+const LIVE: &str = "quota/live/";
+/// Prefix of the records of the cells; the revision of one is the token of the cell's last leader.
+const TERMS: &str = "quota/term/";
+
+/// The key of a cell's record.
+pub fn term_key(cell: &str) -> String {
+    format!("{TERMS}{cell}")
+}
+
+fn live_key(cell: &str) -> String {
+    format!("{LIVE}{cell}")
+}
+
+fn team_key(team: &str) -> String {
+    format!("{TEAMS}{team}")
+}
+
+/// What a leader stores of its cell in the transaction that makes it one.
+pub fn campaign_changes(
+    cell: &str,
+    record: &CellRecord,
+    lease: u64,
+) -> serde_json::Result<Vec<Change>> {
+    let live = to_raw_value(&BTreeMap::<(), ()>::new())?;
+    Ok(vec![
+        Change::Put { key: live_key(cell), value: live, lease: Some(lease) },
+        Change::Put { key: term_key(cell), value: to_raw_value(record)?, lease: None },
+    ])
+}
+
+/// The transaction of a change: fenced by the writer's leader key, by the revision of the value that it
+/// replaces, and by what it holds to be dead.
+pub fn transaction(token: u64, write: &LedgerWrite) -> serde_json::Result<Txn> {
+    let key = team_key(&write.team);
+    let mut conditions = vec![
+        Condition { key: LEADER.into(), version: token },
+        Condition { key: key.clone(), version: write.expect },
+    ];
+    for dead in &write.dead {
+        conditions.push(Condition { key: live_key(&dead.cell), version: 0 });
+        conditions.push(Condition { key: term_key(&dead.cell), version: dead.term_revision });
+    }
+    let value = to_raw_value(&write.ledger)?;
+    Ok(Txn { conditions, changes: vec![Change::Put { key, value, lease: None }] })
+}
+
+/// All that cells share, by key, as it was last seen.
+#[derive(Default)]
+pub struct SharedKeys {
+    values: BTreeMap<String, (u64, Box<RawValue>)>,
+}
+
+impl SharedKeys {
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        self.values.clear();
+    }
+
+    /// Takes in a value, unless a newer one is known.
+    pub fn put(&mut self, key: String, revision: u64, value: Box<RawValue>) {
+        if self.values.get(&key).is_none_or(|(known, _)| *known <= revision) {
+            self.values.insert(key, (revision, value));
+        }
+    }
+
+    /// A key has gone at this revision.
+    pub fn delete(&mut self, key: &str, revision: u64) {
+        if self.values.get(key).is_some_and(|(known, _)| *known < revision) {
+            self.values.remove(key);
+        }
+    }
+
+    /// What a cell's keeper makes of it.
+    pub fn view(&self, revision: u64) -> View {
+        let mut view = View { revision, ..View::default() };
+        for (key, (revision, value)) in &self.values {
+            if let Some(team) = key.strip_prefix(TEAMS) {
+                let ledger = TeamLedger::parse(value.get());
+                let seen = SeenLedger { revision: *revision, ledger };
+                view.teams.insert(team.to_string(), seen);
+            } else if let Some(cell) = key.strip_prefix(TERMS) {
+                let presence = Presence {
+                    is_led: self.values.contains_key(&live_key(cell)),
+                    term_revision: *revision,
+                    record: serde_json::from_str(value.get()).ok(),
+                };
+                view.cells.insert(cell.to_string(), presence);
+            }
+        }
+        view
+    }
+}
--- a/crates/latchtrack/src/wire/status.rs
+++ b/crates/latchtrack/src/wire/status.rs
@@ -1,6 +1,9 @@
 //! What a node tells an operator who asks for its status.
 
+use std::collections::BTreeMap;
+
 use latchtrack_core::leader::BalanceSummary;
+use latchtrack_quota::{Account, Amounts, TeamSummary};
 use serde::{Deserialize, Serialize};
 
 /// A node's view of itself and, if it leads, of the cluster.
@@ -46,6 +49,80 @@
     /// 0.3 answer.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub balance: Option<BalanceView>,
+    /// The teams that cells share; absent where this deployment has them alone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quota: Option<Vec<TeamQuotaView>>,
+}
+
+/// A team that cells share; amounts in CPUs and GPUs.
+#[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct TeamQuotaView {
+    pub team: String,
+    /// Why nothing of it is launched, if so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trouble: Option<String>,
+    /// Whether the stored limit or guarantee, which counts, is not that of this cell's file.
+    pub differs_from_file: bool,
+    pub limit: AmountsView,
+    pub guarantee: AmountsView,
+    /// On machines of this cell.
+    pub used_here: AmountsView,
+    /// What this cell may use just now.
+    pub launch_limit_here: AmountsView,
+    pub cells: BTreeMap<String, AccountView>,
+}
+
+/// CPUs and GPUs; 0 in a limit is none.
+#[derive(Serialize, Deserialize, Debug, Clone, Copy, PartialEq)]
+pub struct AmountsView {
+    pub cpus: f64,
+    pub gpus: f64,
+}
+
+impl From<Amounts> for AmountsView {
+    fn from(amounts: Amounts) -> Self {
+        let (cpus, gpus) = amounts.decimal();
+        AmountsView { cpus, gpus }
+    }
+}
+
+/// What a cell holds of a team's limit, and asks for.
+#[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct AccountView {
+    pub allotted: AmountsView,
+    /// Time of day of the last change, ms.
+    pub since_ms: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wants: Option<AmountsView>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ticket: Option<u64>,
+}
+
+impl From<Account> for AccountView {
+    fn from(account: Account) -> Self {
+        AccountView {
+            allotted: account.allotted.into(),
+            since_ms: account.since_ms,
+            wants: account.request.as_ref().map(|request| request.want.into()),
+            ticket: account.request.map(|request| request.ticket),
+        }
+    }
+}
+
+impl From<TeamSummary> for TeamQuotaView {
+    fn from(summary: TeamSummary) -> Self {
+        let cells = summary.cells.into_iter();
+        TeamQuotaView {
+            team: summary.team,
+            trouble: summary.trouble,
+            differs_from_file: summary.differs,
+            limit: summary.limit.total().into(),
+            guarantee: summary.guarantee.into(),
+            used_here: summary.used.into(),
+            launch_limit_here: summary.launch_limit.into(),
+            cells: cells.map(|(cell, account)| (cell, account.into())).collect(),
+        }
+    }
 }
 
 /// How evenly the machines are loaded, and what is done about it.
--- a/crates/latchtrack/src/wire/store.rs
+++ b/crates/latchtrack/src/wire/store.rs
@@ -31,6 +31,14 @@
 }
 
 impl Change {
+    /// Bytes of the value that it puts.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Change::Put { value, .. } => value.get().len(),
+            Change::Delete { .. } => 0,
+        }
+    }
+
     /// The key that it changes.
     pub fn key(&self) -> &str {
         match self {
