--- a/crates/latchtrack-standins/src/fleet.rs
+++ b/crates/latchtrack-standins/src/fleet.rs
@@ -196,6 +196,11 @@
 }
 
 impl FleetState {
+    /// When the fleet began.
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
     /// ms since the fleet began.
     pub fn now_ms(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
--- a/crates/latchtrack-standins/src/history.rs
+++ b/crates/latchtrack-standins/src/history.rs
@@ -33,6 +33,33 @@
     pub machines: usize,
 }
 
+/// CPUs in use after a moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    pub at_ms: u64,
+    pub cpus: f64,
+}
+
+/// The use over time of tasks by what each takes; those that take nothing are left out. Of what happens in the
+/// same millisecond, what ends counts first.
+pub fn usage(entries: &[Entry], cpus_of: impl Fn(&str) -> f64) -> Vec<Usage> {
+    let mut changes: Vec<(u64, f64)> = entries
+        .iter()
+        .map(|entry| match entry.happened {
+            Happened::Started => (entry.at_ms, cpus_of(&entry.task)),
+            Happened::Done | Happened::Gone => (entry.at_ms, -cpus_of(&entry.task)),
+        })
+        .filter(|(_, cpus)| *cpus != 0.0)
+        .collect();
+    changes.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
+    let mut cpus = 0.0;
+    let total = |(at_ms, change): (u64, f64)| {
+        cpus += change;
+        Usage { at_ms, cpus }
+    };
+    changes.into_iter().map(total).collect()
+}
+
 /// What a fleet recorded, in the order in which it happened.
 #[derive(Clone, Debug, Default)]
 pub struct History {
--- a/crates/latchtrack-standins/src/lib.rs
+++ b/crates/latchtrack-standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cloud;
 pub mod fleet;
 pub mod history;
+pub mod race;
 pub mod site;
 pub mod spread;
 pub mod state;
--- a/crates/latchtrack-standins/src/site.rs
+++ b/crates/latchtrack-standins/src/site.rs
@@ -22,13 +22,20 @@
     pub tuning: Tuning,
     /// Sockets of a node.
     pub max_sockets: usize,
+    /// The teams and the workers' times, as the platform's file has them.
+    pub teams: Value,
+    pub workers: Value,
     state_ports: [u16; 3],
     cloud_port: u16,
 }
 
 /// Starts state service and cloud.
 pub fn site() -> Site {
-    let state: Shared<State> = Default::default();
+    site_at(Default::default())
+}
+
+/// Starts a cloud, and ports of a state service that others share.
+pub fn site_at(state: Shared<State>) -> Site {
     let cloud: Shared<CloudState> = Default::default();
     let refused: [Arc<AtomicBool>; 3] = Default::default();
     Site {
@@ -39,6 +46,9 @@
         refused,
         tuning: Tuning::default(),
         max_sockets: 200,
+        teams: json!([{"name": "team"}, {"name": "small", "cpus_max": 2.0}, {"name": "other"}]),
+        workers: json!({"report_s": 1.0, "lease_s": 10.0, "cancel_s": 20.0,
+            "gang_wait_s": 5.0, "gang_peer_s": 2.0}),
     }
 }
 
@@ -121,9 +131,8 @@
             "external": {"state": format!("127.0.0.1:{}", self.state_ports[port]),
                          "cloud": format!("127.0.0.1:{}", self.cloud_port)},
             "params": {"zones": ["a"],
-                "teams": [{"name": "team"}, {"name": "small", "cpus_max": 2.0}, {"name": "other"}],
-                "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 20.0,
-                    "gang_wait_s": 5.0, "gang_peer_s": 2.0},
+                "teams": self.teams,
+                "workers": self.workers,
                 "state": {"rps": 1000.0, "write_rps": 1000.0, "value_kb": 4.0, "txn_ops": 8,
                     "next": {"value_kb": 2.0, "txn_ops": 4}},
                 "cloud": {"rps": 100.0, "list_lag_s": 1.0},
--- a/crates/latchtrack-standins/src/state.rs
+++ b/crates/latchtrack-standins/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use actix_web::dev::Service;
 use actix_web::{web, App, HttpResponse, HttpServer};
@@ -20,6 +21,12 @@
     epoch: u64,
     leases: u64,
     ended: BTreeSet<u64>,
+    /// Leases that end unless they are renewed, each with its time and the moment at which it ends.
+    ends: BTreeMap<u64, (Duration, Instant)>,
+    /// Whether leases end by themselves; set it before the first is granted.
+    pub expires: bool,
+    /// Puts of teams' values that cells share.
+    pub shared_puts: u64,
     /// Answers 503 to everything.
     pub down: bool,
     /// Executes the next transaction on a job record but breaks off the answer.
@@ -86,10 +93,11 @@
 }
 
 fn list_now(s: &Shared<State>, q: &BTreeMap<String, String>) -> HttpResponse {
-    let s = s.lock().unwrap();
+    let mut s = s.lock().unwrap();
     if s.down {
         return trouble();
     }
+    s.expire();
     let prefix = q.get("prefix").cloned().unwrap_or_default();
     let from = q.get("from").cloned().unwrap_or_default();
     let rows: Vec<Value> = s
@@ -114,10 +122,11 @@
 }
 
 fn watch_now(s: &Shared<State>, q: &BTreeMap<String, String>) -> HttpResponse {
-    let s = s.lock().unwrap();
+    let mut s = s.lock().unwrap();
     if s.down {
         return trouble();
     }
+    s.expire();
     let prefix = q.get("prefix").cloned().unwrap_or_default();
     let from: u64 = q.get("from").and_then(|f| f.parse().ok()).unwrap_or(0);
     let log: Vec<&Value> = s
@@ -168,6 +177,7 @@
     if s.down {
         return trouble();
     }
+    s.expire();
     let failed: Vec<String> = body["if"]
         .as_array()
         .unwrap()
@@ -187,6 +197,7 @@
         if let Some(key) = change["put"].as_str() {
             let data = change["data"].clone();
             s.log.push(json!({"put": key, "data": data, "stamp": epoch}));
+            s.shared_puts += u64::from(key.starts_with("quota/team/"));
             s.keys.insert(key.into(), (data, epoch, change["charter"].as_u64()));
         } else if let Some(key) = change["drop"].as_str() {
             s.log.push(json!({"drop": key, "stamp": epoch}));
@@ -202,23 +213,32 @@
     HttpResponse::Ok().json(json!({"epoch": epoch}))
 }
 
-async fn grant(s: web::Data<Shared<State>>) -> HttpResponse {
+async fn grant(s: web::Data<Shared<State>>, body: web::Json<Value>) -> HttpResponse {
     let mut s = s.lock().unwrap();
     if s.down {
         return trouble();
     }
     s.leases += 1;
+    if s.expires {
+        let time = Duration::from_millis(body["ttl_ms"].as_u64().unwrap());
+        let lease = s.leases;
+        s.ends.insert(lease, (time, Instant::now() + time));
+    }
     HttpResponse::Ok().json(json!({"charter": s.leases}))
 }
 
 async fn renew(s: web::Data<Shared<State>>, id: web::Path<u64>) -> HttpResponse {
-    let s = s.lock().unwrap();
+    let mut s = s.lock().unwrap();
     if s.down {
         return trouble();
     }
+    s.expire();
     if s.ended.contains(&id) {
         return HttpResponse::NotFound().json(json!({"error": "no such lease"}));
     }
+    if let Some((time, ends)) = s.ends.get_mut(&id) {
+        *ends = Instant::now() + *time;
+    }
     HttpResponse::Ok().json(json!({}))
 }
 
@@ -228,6 +248,17 @@
 }
 
 impl State {
+    /// Ends the leases that were not renewed in time.
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over: Vec<u64> =
+            self.ends.iter().filter(|(_, (_, ends))| *ends < now).map(|(id, _)| *id).collect();
+        for id in over {
+            self.ends.remove(&id);
+            self.end(id);
+        }
+    }
+
     /// A lease ends, and its keys go.
     pub fn end(&mut self, id: u64) {
         self.ended.insert(id);
