Tests of the ledger, the targets, cells at one state service; pools renamed; tidying

Change: published format by golden data, bad settings by name, a cell's name in use with another cloud, status; balance's cells are machine pools now; MINUTE_MS with the constants, one dominant share, no set of jobs.

--- a/crates/latchtrack-balance/src/balancer.rs
+++ b/crates/latchtrack-balance/src/balancer.rs
@@ -183,7 +183,7 @@
         self.counts
     }
 
-    /// The spread of each cell, as last observed.
+    /// The spread of each pool, as last observed.
     pub fn spreads(&self) -> &BTreeMap<u32, Spread> {
         &self.spreads
     }
--- a/crates/latchtrack-balance/src/constants.rs
+++ b/crates/latchtrack-balance/src/constants.rs
@@ -3,7 +3,7 @@
 
 use crate::Millis;
 
-/// Times the mean load of a cell that its most loaded machine may carry beside one task. Below this the
+/// Times the mean load of a pool that its most loaded machine may carry beside one task. Below this the
 /// gain of a move is within what tasks differ by anyway.
 pub const SPREAD_FACTOR: f64 = 1.25;
 /// ms a machine must be over the bound before a task of it moves: longer than most tasks take to end by
@@ -55,3 +55,5 @@
 pub const PLACE_COST_STEPS: f64 = 10.0;
 /// Slack for sums of decimal amounts.
 pub const ROUNDING: f64 = 1e-6;
+/// ms in a minute, over which moves are counted.
+pub const MINUTE_MS: Millis = 60_000;
--- a/crates/latchtrack-balance/src/pacing.rs
+++ b/crates/latchtrack-balance/src/pacing.rs
@@ -3,11 +3,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::constants::MINUTE_MS;
 use crate::moves::UnitId;
 use crate::Millis;
 
-const MINUTE_MS: Millis = 60_000;
-
 /// Keeps moves within their budgets.
 #[derive(Clone, Debug, Default)]
 pub struct Pacing {
--- a/crates/latchtrack-balance/src/planner.rs
+++ b/crates/latchtrack-balance/src/planner.rs
@@ -1,7 +1,7 @@
-//! Which running tasks should move, and where: a greedy plan, cell by cell.
+//! Which running tasks should move, and where: a greedy plan, pool by pool.
 //!
 //! The most loaded machine over its bound gives the task that costs least to the least loaded machine of the
-//! cell, until no machine is over its bound, nothing that may move improves anything, or the budget is used
+//! pool, until no machine is over its bound, nothing that may move improves anything, or the budget is used
 //! up. Every move of a plan leaves its source and its targets below what the source carried before, so a plan
 //! never raises the greatest load.
 
@@ -18,8 +18,8 @@
 #[derive(Clone, Debug)]
 pub struct MachineLoad {
     pub name: Arc<str>,
-    /// Machines of one cell are alike in all that a job may ask for: see [`crate::spread`].
-    pub cell: u32,
+    /// Machines of one pool are alike in all that a job may ask for: see [`crate::spread`].
+    pub pool: u32,
     pub capacity: Amounts,
     /// What its tasks use and what is reserved on it, without what is about to leave.
     pub used: Amounts,
@@ -129,15 +129,15 @@
     over
 }
 
-/// The spread of each cell that has a machine.
+/// The spread of each pool that has a machine.
 pub fn spreads(input: &PlanInput) -> BTreeMap<u32, Spread> {
     let mut loads: BTreeMap<u32, Vec<f64>> = BTreeMap::new();
     for machine in &input.machines {
         if let Some(load) = machine.load() {
-            loads.entry(machine.cell).or_default().push(load);
+            loads.entry(machine.pool).or_default().push(load);
         }
     }
-    loads.into_iter().map(|(cell, loads)| (cell, Spread::of(loads))).collect()
+    loads.into_iter().map(|(pool, loads)| (pool, Spread::of(loads))).collect()
 }
 
 /// Makes a plan. The same input gives the same plan.
@@ -175,7 +175,7 @@
     used: Vec<Amounts>,
     loads: Vec<f64>,
     spreads: BTreeMap<u32, Spread>,
-    /// Machines of each cell that may receive, the least loaded first.
+    /// Machines of each pool that may receive, the least loaded first.
     targets: BTreeMap<u32, BTreeSet<LoadKey>>,
     /// Movables by the machines that they are on.
     on_machine: Vec<Vec<usize>>,
@@ -194,7 +194,7 @@
         for (machine, m) in input.machines.iter().enumerate() {
             if m.may_receive && valid[machine] {
                 let key = LoadKey { load: loads[machine], machine };
-                targets.entry(m.cell).or_default().insert(key);
+                targets.entry(m.pool).or_default().insert(key);
             }
         }
         let mut planner = Planner {
@@ -221,19 +221,19 @@
     }
 
     /// Whether a task may move at all: its numbers make sense, its remaining time is worth the move, and
-    /// all of it is in one cell, on machines that may give.
+    /// all of it is in one pool, on machines that may give.
     fn is_candidate(&self, movable: &Movable) -> bool {
         let numbers = [movable.save_s, movable.cost_s, movable.remaining_s];
         let sensible =
             movable.demand.is_valid() && numbers.iter().all(|s| *s >= 0.0 && s.is_finite());
         let worth = movable.remaining_s >= self.input.worth_factor * movable.cost_s;
         let mut on = movable.tasks.iter().map(|(_, machine)| *machine);
-        let Some(cell) = on.clone().next().and_then(|m| self.input.machines.get(m)) else {
+        let Some(pool) = on.clone().next().and_then(|m| self.input.machines.get(m)) else {
             return false;
         };
         let may_leave = |machine: usize| {
             let Some(m) = self.input.machines.get(machine) else { return false };
-            m.cell == cell.cell && m.may_give && self.valid[machine]
+            m.pool == pool.pool && m.may_give && self.valid[machine]
         };
         sensible && worth && on.all(may_leave)
     }
@@ -254,8 +254,8 @@
     }
 
     fn bound(&self, machine: usize, share: f64) -> f64 {
-        let cell = self.input.machines[machine].cell;
-        self.spreads.get(&cell).copied().unwrap_or_default().bound(share)
+        let pool = self.input.machines[machine].pool;
+        self.spreads.get(&pool).copied().unwrap_or_default().bound(share)
     }
 
     /// Moves one task off a machine that is over its bound, the one that costs least; returns the machines
@@ -292,7 +292,7 @@
         for machine in machines {
             self.retired.insert(*machine);
             let key = LoadKey { load: self.loads[*machine], machine: *machine };
-            if let Some(targets) = self.targets.get_mut(&self.input.machines[*machine].cell) {
+            if let Some(targets) = self.targets.get_mut(&self.input.machines[*machine].pool) {
                 targets.remove(&key);
             }
         }
@@ -303,7 +303,7 @@
     fn targets_for(&mut self, movable: usize, load: f64) -> Option<Vec<usize>> {
         let unit = &self.input.movables[movable];
         let sources: BTreeSet<usize> = machines_of(unit).into_iter().collect();
-        let cell = self.input.machines[*sources.first()?].cell;
+        let pool = self.input.machines[*sources.first()?].pool;
         let mut extra: BTreeMap<usize, Amounts> = BTreeMap::new();
         let mut chosen = Vec::new();
         for _ in &unit.tasks {
@@ -311,7 +311,7 @@
             let mut looked = 0;
             // The least loaded first. A few are looked at, since the dominant share is not of the same
             // resource everywhere; those that this unit has filled itself count with what it put there.
-            for key in self.targets.get(&cell)? {
+            for key in self.targets.get(&pool)? {
                 self.plan.steps += 1;
                 if looked >= TARGETS_LOOKED || key.load >= load {
                     break;
@@ -369,7 +369,7 @@
         let before = LoadKey { load: self.loads[machine], machine };
         self.used[machine] = with(self.used[machine]);
         self.loads[machine] = self.used[machine].dominant_share(&m.capacity);
-        if let Some(targets) = self.targets.get_mut(&m.cell) {
+        if let Some(targets) = self.targets.get_mut(&m.pool) {
             if targets.remove(&before) {
                 targets.insert(LoadKey { load: self.loads[machine], machine });
             }
--- a/crates/latchtrack-balance/src/spread.rs
+++ b/crates/latchtrack-balance/src/spread.rs
@@ -1,19 +1,19 @@
-//! How evenly the machines of a cell are loaded.
+//! How evenly the machines of a pool are loaded.
 //!
-//! A cell is a set of machines that are alike in everything a job may ask for: type, zone, spot or not. What
-//! may run on one of them may run on all, so a move within a cell breaks no rule about where a job may be.
+//! A pool is a set of machines that are alike in everything a job may ask for: type, zone, spot or not. What
+//! may run on one of them may run on all, so a move within a pool breaks no rule about where a job may be.
 //!
 //! The load of a machine is the dominant share of what its tasks use, a part of the machine from 0 to 1. The
-//! spread of a cell is the greatest load over the mean load. The bound: a machine that has a task which may
-//! move carries at most [`SPREAD_FACTOR`] times the mean load of its cell plus the share of that task.
+//! spread of a pool is the greatest load over the mean load. The bound: a machine that has a task which may
+//! move carries at most [`SPREAD_FACTOR`] times the mean load of its pool plus the share of that task.
 //!
 //! Why the bound can be reached: let a machine carry `L > F * mean + s`, where `s` is the share of one of its
 //! tasks. The least loaded machine carries at most the mean, so with the task it carries less than `L`, and
-//! since machines of a cell are of one size and `L` is at most 1, the task fits there.
+//! since machines of a pool are of one size and `L` is at most 1, the task fits there.
 
 use crate::constants::SPREAD_FACTOR;
 
-/// The load of the machines of a cell.
+/// The load of the machines of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Spread {
     /// The greatest load of a machine, in parts of a machine.
@@ -40,7 +40,7 @@
         spread
     }
 
-    /// The greatest over the mean load; 1 for a cell without load.
+    /// The greatest over the mean load; 1 for a pool without load.
     pub fn ratio(&self) -> f64 {
         if self.mean > 0.0 {
             self.greatest / self.mean
--- a/crates/latchtrack-core/src/leader/balancing.rs
+++ b/crates/latchtrack-core/src/leader/balancing.rs
@@ -28,8 +28,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Balance {
     pub arrivals: Arrivals,
-    /// The cells seen so far, by what makes machines alike.
-    cells: HashMap<(Arc<str>, Arc<str>, bool), u32>,
+    /// The pools seen so far, by what makes machines alike.
+    pools: HashMap<(Arc<str>, Arc<str>, bool), u32>,
     observed_at: Option<Millis>,
     logged_at: Option<Millis>,
     /// Machine types whose amounts make no sense, named once in the log.
@@ -39,7 +39,7 @@
 /// What there is to tell an operator of the balance of the cluster.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct BalanceSummary {
-    /// The spread of the cell in which it is greatest.
+    /// The spread of the pool in which it is greatest.
     pub spread: Spread,
     pub over_bound: usize,
     pub hot_teams: Vec<String>,
@@ -99,8 +99,8 @@
                 fetching.insert(&spec.image, spec.image_gb);
             }
         }
-        let cell = self.balance.cells.get(&(m.kind.clone(), m.zone.clone(), m.spot));
-        let spread = cell.and_then(|cell| self.balancer.spreads().get(cell));
+        let pool = self.balance.pools.get(&(m.kind.clone(), m.zone.clone(), m.spot));
+        let spread = pool.and_then(|pool| self.balancer.spreads().get(pool));
         Some(RoomBalance {
             capacity: Demand { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb },
             mean_load: spread.map_or(0.0, |spread| spread.mean),
@@ -233,7 +233,7 @@
             .plus(&self.balancer.reserved_on(name))
             .minus(&self.balancer.leaving_from(name));
         let is_well = self.accepts_moves(now, m);
-        let cell = (m.kind.clone(), m.zone.clone(), m.spot);
+        let pool = (m.kind.clone(), m.zone.clone(), m.spot);
         if !capacity.is_valid() || !used.is_valid() {
             let kind = m.kind.to_string();
             if self.balance.odd_types.insert(kind.clone()) {
@@ -243,11 +243,11 @@
             return None;
         }
         let name = m.name.clone();
-        let next = self.balance.cells.len() as u32;
-        let cell = *self.balance.cells.entry(cell).or_insert(next);
+        let next = self.balance.pools.len() as u32;
+        let pool = *self.balance.pools.entry(pool).or_insert(next);
         Some(MachineLoad {
             name,
-            cell,
+            pool,
             capacity,
             used,
             may_receive: is_well,
@@ -479,7 +479,7 @@
     run.phase == Phase::Running && saves && run.stop.is_none()
 }
 
-fn amounts(demand: &Demand) -> Amounts {
+pub(super) fn amounts(demand: &Demand) -> Amounts {
     Amounts { cpus: demand.cpus, gpus: demand.gpus, memory_gb: demand.memory_gb }
 }
 
--- a/crates/latchtrack-core/src/leader/sharing.rs
+++ b/crates/latchtrack-core/src/leader/sharing.rs
@@ -1,10 +1,11 @@
 //! Order among teams: jobs of a hot team that are beyond its share go behind those of others.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use latchtrack_balance::arrivals::Heat;
 use latchtrack_balance::fairness::{shares, TeamDemand};
 
+use super::balancing::amounts;
 use super::policy::Team;
 use super::Cluster;
 use crate::job::{Demand, JobId};
@@ -42,7 +43,8 @@
             let Some(share) = hot.get(&job.spec.team) else { continue };
             let taken = taken.entry(job.spec.team.clone()).or_default();
             rank.beyond_share = u8::from(*taken >= *share);
-            *taken += dominant_share(&job.spec.demand, total) * f64::from(job.wanted());
+            *taken +=
+                amounts(&job.spec.demand).dominant_share(&amounts(total)) * f64::from(job.wanted());
         }
     }
 
@@ -74,12 +76,12 @@
         let runs = self.machines.values().flat_map(|m| m.runs.values());
         for spec in runs.filter(|run| run.live()).filter_map(|run| run.spec.as_ref()) {
             used.entry(spec.team.clone()).or_default().running +=
-                dominant_share(&spec.demand, total);
+                amounts(&spec.demand).dominant_share(&amounts(total));
         }
-        let queued: BTreeSet<JobId> = order.iter().map(|(_, id)| *id).collect();
-        for job in queued.iter().filter_map(|id| self.jobs.get(id)) {
+        // Each job stands in the order once.
+        for job in order.iter().filter_map(|(_, id)| self.jobs.get(id)) {
             used.entry(job.spec.team.clone()).or_default().waiting +=
-                dominant_share(&job.spec.demand, total) * f64::from(job.wanted());
+                amounts(&job.spec.demand).dominant_share(&amounts(total)) * f64::from(job.wanted());
         }
         used
     }
@@ -95,11 +97,3 @@
         wanted: used.running + used.waiting,
     }
 }
-
-/// The largest part that a task takes of any resource of the cluster.
-fn dominant_share(demand: &Demand, total: &Demand) -> f64 {
-    let part = |amount: f64, all: f64| if all > 0.0 { amount / all } else { 0.0 };
-    part(demand.cpus, total.cpus)
-        .max(part(demand.gpus, total.gpus))
-        .max(part(demand.memory_gb, total.memory_gb))
-}
--- /dev/null
+++ b/crates/latchtrack-quota/tests/targets.rs
@@ -0,0 +1,80 @@
+//! Who is to get how much: the guarantee, the needs by ticket, the rest evenly.
+
+use latchtrack_quota::{targets, Amounts, Claim, Limit};
+
+fn cpus(millicpus: u64) -> Amounts {
+    Amounts { millicpus, milligpus: 0 }
+}
+
+fn asks(ticket: u64, need: u64, want: u64) -> Claim {
+    Claim { ticket: Some(ticket), need: cpus(need), want: cpus(want) }
+}
+
+fn holds(want: u64) -> Claim {
+    Claim { want: cpus(want), ..Claim::default() }
+}
+
+fn totals(limit: u64, guarantee: u64, claims: &[Claim]) -> Vec<u64> {
+    let limit = Limit { millicpus: Some(limit), milligpus: None };
+    targets(&limit, cpus(guarantee), claims).iter().map(|t| t.total().millicpus).collect()
+}
+
+#[test]
+fn wants_that_fit_are_all_met() {
+    assert_eq!(totals(100, 0, &[holds(20), asks(1, 5, 70)]), [20, 70]);
+}
+
+#[test]
+fn what_is_short_is_shared_evenly() {
+    assert_eq!(totals(100, 0, &[asks(1, 1, 100), asks(2, 1, 100), asks(3, 1, 10)]), [45, 45, 10]);
+    // What whole thousandths leave over goes to the first.
+    assert_eq!(totals(100, 0, &[asks(1, 1, 99), asks(2, 1, 99), asks(3, 1, 99)]), [34, 33, 33]);
+}
+
+#[test]
+fn a_request_within_the_guarantee_comes_before_needs_and_shares() {
+    assert_eq!(totals(100, 40, &[asks(1, 100, 100), asks(2, 1, 40)]), [60, 40]);
+    // Two that fit together, and a third that does not.
+    assert_eq!(totals(100, 40, &[asks(3, 1, 40), asks(1, 1, 20), asks(2, 1, 20)])[1..], [20, 20]);
+}
+
+#[test]
+fn needs_are_gathered_by_ticket_whole_or_not_at_all() {
+    // Two gangs as large as the limit: the older has all.
+    assert_eq!(totals(100, 0, &[asks(2, 100, 100), asks(1, 100, 100)]), [0, 100]);
+    // The second does not fit beside the first; the third does.
+    assert_eq!(totals(100, 0, &[asks(1, 60, 60), asks(2, 60, 60), asks(3, 30, 30)]), [60, 10, 30]);
+}
+
+#[test]
+fn a_resource_without_a_limit_has_no_targets() {
+    let limit = Limit { millicpus: Some(10), milligpus: None };
+    let both = Amounts { millicpus: 4, milligpus: 9 };
+    let claim = Claim { ticket: Some(1), need: both, want: both };
+    assert_eq!(targets(&limit, Amounts::NONE, &[claim])[0].total(), cpus(4));
+}
+
+#[test]
+fn targets_never_pass_the_limit() {
+    // A small generator of its own, so that the cases are the same everywhere.
+    let mut state: u64 = 7;
+    let mut random = |below: u64| {
+        state =
+            state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) % below
+    };
+    for _ in 0..20_000 {
+        let limit = random(200);
+        let claims: Vec<Claim> = (0..1 + random(5))
+            .map(|ticket| match random(3) {
+                0 => holds(random(150)),
+                _ => asks(ticket, random(150), random(250)),
+            })
+            .collect();
+        let totals = totals(limit, random(100), &claims);
+        assert!(totals.iter().sum::<u64>() <= limit, "{limit}: {claims:?} {totals:?}");
+        for (claim, total) in claims.iter().zip(&totals) {
+            assert!(*total <= claim.want.millicpus.max(claim.need.millicpus));
+        }
+    }
+}
--- a/crates/latchtrack/src/wire/status.rs
+++ b/crates/latchtrack/src/wire/status.rs
@@ -128,7 +128,7 @@
 /// How evenly the machines are loaded, and what is done about it.
 #[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
 pub struct BalanceView {
-    /// The greatest over the mean load, of the cell in which this is greatest; both in parts of a machine.
+    /// The greatest over the mean load, of the machine pool in which this is greatest; both in parts of a machine.
     pub spread: f64,
     pub greatest_load: f64,
     pub mean_load: f64,
--- /dev/null
+++ b/crates/latchtrack/tests/cells.rs
@@ -0,0 +1,137 @@
+//! Cells at one state service: whose keys are whose, and a name that is in use with another cloud.
+
+use latchtrack::actors::namespace::Namespace;
+use latchtrack::actors::store::StoreRequest;
+use latchtrack::node::{self, StartError};
+use latchtrack::settings::{QuotaTuning, Tuning};
+use latchtrack::wire::quota::{campaign_changes, transaction, SharedKeys};
+use latchtrack::wire::store::{Change, Condition, Txn};
+use latchtrack_quota::{Amounts, CellRecord, DeadCell, LedgerWrite, Limit, TeamLedger};
+use latchtrack_standins::site::{site_at, Site};
+use latchtrack_standins::until;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+fn raw(text: &str) -> Box<serde_json::value::RawValue> {
+    serde_json::value::RawValue::from_string(text.into()).unwrap()
+}
+
+#[test]
+fn own_keys_lie_under_the_prefix_and_shared_ones_do_not() {
+    let east = Namespace::new("cells/east/".into());
+    assert_eq!(east.outer("live/leader"), "cells/east/live/leader");
+    assert_eq!(east.outer("quota/team/t"), "quota/team/t");
+    let alone = Namespace::new(String::new());
+    assert_eq!(alone.outer("live/leader"), "live/leader");
+    let get = StoreRequest::Get { key: "site/types".into() };
+    assert_eq!(east.outer_of(&get).unwrap(), "cells/east/site/types");
+    let txn = Txn {
+        conditions: vec![Condition { key: "live/leader".into(), version: 7 }],
+        changes: vec![Change::Delete { key: "quota/team/t".into() }],
+    };
+    let text = serde_json::to_string(&east.outer_txn(txn)).unwrap();
+    assert_eq!(
+        text,
+        r#"{"if":[{"k":"cells/east/live/leader","stamp":7}],"apply":[{"drop":"quota/team/t"}]}"#
+    );
+}
+
+/// What is stored and asked, byte for byte.
+#[test]
+fn the_records_of_a_cell_and_a_change_are_a_published_format() {
+    let record =
+        CellRecord { cloud: "10.0.0.1:80".into(), leader_lease_ms: 3_000, worker_lease_ms: 30_000 };
+    let changes = campaign_changes("east", &record, 4).unwrap();
+    assert_eq!(
+        serde_json::to_string(&changes).unwrap(),
+        concat!(
+            r#"[{"put":"quota/live/east","data":{},"charter":4},{"put":"quota/term/east","data":"#,
+            r#"{"cloud":"10.0.0.1:80","leader_lease_ms":3000,"worker_lease_ms":30000}}]"#
+        )
+    );
+    let ledger = TeamLedger::new(Limit::of(4.0, 0.0), Amounts::NONE);
+    let dead = vec![DeadCell { cell: "west".into(), term_revision: 9 }];
+    let write = LedgerWrite { team: "t".into(), expect: 12, ledger, dead };
+    let txn = transaction(5, &write).unwrap();
+    let conditions: Vec<(&str, u64)> =
+        txn.conditions.iter().map(|c| (c.key.as_str(), c.version)).collect();
+    let expected =
+        [("live/leader", 5), ("quota/team/t", 12), ("quota/live/west", 0), ("quota/term/west", 9)];
+    assert_eq!(conditions, expected);
+}
+
+#[test]
+fn what_is_seen_is_the_newest_of_each_key() {
+    let mut keys = SharedKeys::default();
+    keys.put(
+        "quota/term/east".into(),
+        5,
+        raw(r#"{"cloud":"c","leader_lease_ms":1,"worker_lease_ms":2}"#),
+    );
+    keys.put("quota/live/east".into(), 5, raw("{}"));
+    keys.put("quota/term/west".into(), 6, raw("7"));
+    keys.put("quota/team/t".into(), 8, raw(r#"{"version":1,"limit":{}}"#));
+    // Late copies of what was before.
+    keys.put("quota/team/t".into(), 7, raw("null"));
+    keys.delete("quota/live/east", 4);
+    let view = keys.view(8);
+    assert!(view.cells["east"].is_led && view.cells["east"].term_revision == 5);
+    assert!(!view.cells["west"].is_led && view.cells["west"].record.is_none());
+    assert!(view.teams["t"].ledger.is_ok());
+    keys.delete("quota/live/east", 9);
+    assert!(!keys.view(9).cells["east"].is_led);
+}
+
+fn cell_site(state: latchtrack_standins::Shared<latchtrack_standins::State>) -> Site {
+    let mut site = site_at(state);
+    let quota = QuotaTuning { cell: "east".into(), cells: vec!["east".into(), "west".into()] };
+    site.tuning = Tuning { quota: Some(quota), ..Tuning::default() };
+    site
+}
+
+#[actix_web::test]
+async fn a_cells_name_that_is_in_use_with_another_cloud_is_refused_at_the_start() {
+    let first = cell_site(Default::default());
+    let url = first.node("one").await;
+    until("the first cell leads", &format!("{url}/ready"), |got| got.0 == 200).await;
+    for _ in 0..200 {
+        if first.state.lock().unwrap().keys.contains_key("quota/term/east") {
+            break;
+        }
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    assert!(first.state.lock().unwrap().keys.contains_key("cells/east/live/leader"));
+    let second = cell_site(first.state.clone());
+    let users = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peers = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let settings = second.settings("two", 0, &users, &peers, &[]);
+    drop((users, peers));
+    let error = node::run(settings).await.unwrap_err();
+    assert!(matches!(error, StartError::Cell(..)), "{error}");
+    assert!(error.to_string().starts_with("quota.cell: east: "), "{error}");
+}
+
+/// What the leader says of the teams that it shares.
+#[actix_web::test]
+async fn status_tells_limit_use_and_allotments_by_cell() {
+    let mut site = cell_site(Default::default());
+    site.teams = json!([{"name": "team"}, {"name": "small", "cpus": 1.0, "cpus_max": 2.0}]);
+    let stored = json!({"version": 1, "limit": {"millicpus": 3000}, "complete": true, "cells":
+        {"west": {"allotted": {"millicpus": 1500}, "term": 1, "since_ms": 1764680000000u64}}});
+    site.state.lock().unwrap().put("quota/team/small", stored, None);
+    let (_, settings) = site.trio_with_settings().await;
+    for _ in 0..200 {
+        let status = latchtrack::status::ask(&settings).await;
+        let mut clusters = status.nodes.into_values().flatten().filter_map(|node| node.cluster);
+        let quota = clusters.find_map(|cluster| cluster.quota).unwrap_or_default();
+        if let Some(team) = quota.iter().find(|team| team.team == "small" && team.limit.cpus > 2.5)
+        {
+            assert!(team.differs_from_file, "the value's own limit counts");
+            assert_eq!(team.cells["west"].allotted.cpus, 1.5);
+            assert_eq!(team.cells["west"].since_ms, 1_764_680_000_000);
+            return;
+        }
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    panic!("no leader told of the team");
+}
--- a/crates/latchtrack/tests/settings.rs
+++ b/crates/latchtrack/tests/settings.rs
@@ -97,3 +97,60 @@
     assert!(!off.placement && !off.teams && !off.moves, "off unless an operator says so");
     assert_eq!(parse_tuning("").unwrap().slice, Tuning::default().slice);
 }
+
+/// The sample with an operators' file that names cells.
+fn with_cells(yaml: &str) -> Result<(), String> {
+    let tuning = parse_tuning(yaml).map_err(|e| e.to_string())?;
+    Settings { tuning, ..sample() }.check().map_err(|e| e.to_string())
+}
+
+#[test]
+fn cells_that_could_not_work_together_are_refused_by_name() {
+    assert_eq!(with_cells("quota: {cell: east, cells: [east, west]}"), Ok(()));
+    let refused = [
+        ("quota: {cell: '', cells: ['']}", "quota.cell"),
+        ("quota: {cell: a/b, cells: [a/b]}", "quota.cell"),
+        ("quota: {cell: 'a b', cells: ['a b']}", "quota.cell"),
+        ("quota: {cell: east, cells: [east, 'x/y']}", "quota.cells"),
+        ("quota: {cell: east, cells: [west]}", "lacks this cell, east"),
+        ("quota: {cell: east, cells: [east, west, east]}", "twice"),
+        ("quota: {cell: east}", "cells"),
+        ("quota: {cell: east, cells: [east], limit: 4}", "limit"),
+        ("quota: 7", "quota"),
+    ];
+    for (yaml, named) in refused {
+        let error = with_cells(yaml).unwrap_err();
+        assert!(error.contains(named), "{yaml}: {error}");
+    }
+    let many: Vec<String> = (0..40).map(|i| format!("cell{i}")).collect();
+    let error = with_cells(&format!("quota: {{cell: cell0, cells: [{}]}}", many.join(", ")));
+    assert!(error.unwrap_err().contains("bytes"), "40 accounts don't fit into a value");
+}
+
+#[test]
+fn teams_that_cells_could_not_share_are_refused_by_name() {
+    let check = |change: fn(&mut Settings)| {
+        let mut s = sample();
+        s.tuning = parse_tuning("quota: {cell: east, cells: [east]}").unwrap();
+        change(&mut s);
+        s.check().map_err(|e| e.to_string())
+    };
+    assert_eq!(check(|_| ()), Ok(()));
+    let below = check(|s| {
+        let team = &mut s.platform.params.teams[0];
+        (team.cpus, team.cpus_max) = (8.0, 4.0);
+    });
+    assert!(below.unwrap_err().contains("below its guarantee"));
+    let slash = check(|s| s.platform.params.teams[0].name = "a/b".into());
+    assert!(slash.unwrap_err().contains("params.teams"));
+    let small = check(|s| s.platform.params.state.txn_ops = 2);
+    assert!(small.unwrap_err().contains("params.state.txn_ops"));
+}
+
+#[test]
+fn a_cells_keys_lie_under_its_name_and_without_cells_nowhere_else() {
+    let mut s = sample();
+    assert_eq!((s.key_prefix().as_str(), s.cells()), ("", 1));
+    s.tuning = parse_tuning("quota: {cell: east, cells: [west, east]}").unwrap();
+    assert_eq!((s.key_prefix().as_str(), s.cells()), ("cells/east/", 2));
+}
