Quota: keeper split by job, limit command, turns end by what was started

Need: limits change while cells run; a cell with a need above its share must start it, and none may hoard.

--- a/crates/latchtrack-balance/src/amounts.rs
+++ b/crates/latchtrack-balance/src/amounts.rs
@@ -5,8 +5,11 @@
 /// An amount of each resource that machines offer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Amounts {
+    /// CPUs.
     pub cpus: f64,
+    /// GPUs.
     pub gpus: f64,
+    /// Memory in GB.
     pub memory_gb: f64,
 }
 
--- a/crates/latchtrack-balance/src/balancer.rs
+++ b/crates/latchtrack-balance/src/balancer.rs
@@ -18,11 +18,13 @@
     pub over_bound_ms: Millis,
     /// ms a task must have run.
     pub min_run_ms: Millis,
-    /// ms between two moves of a task, and of a machine.
+    /// ms between two moves of a task.
     pub task_cooldown_ms: Millis,
+    /// The same for a machine.
     pub machine_gap_ms: Millis,
     /// ms for which a machine that was in the way of a move takes part in no other.
     pub machine_rest_ms: Millis,
+    /// Moves that may begin in a minute.
     pub moves_per_minute: u32,
     /// Times its cost that the remaining run time of a task must be.
     pub worth_factor: f64,
@@ -45,8 +47,11 @@
 /// Moves that are over, counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct MoveCounts {
+    /// Moves that have begun.
     pub begun: u64,
+    /// Moves whose tasks run on their targets.
     pub settled: u64,
+    /// Moves that were given up.
     pub abandoned: u64,
 }
 
--- a/crates/latchtrack-balance/src/constants.rs
+++ b/crates/latchtrack-balance/src/constants.rs
@@ -46,6 +46,7 @@
 /// Times its share of the cluster that a team must ask for to turn hot, and below which it has cooled:
 /// apart, so that a team at the edge does not change sides with every job.
 pub const HOT_ENTER: f64 = 1.2;
+/// The part of its share below which it is not hot any more.
 pub const HOT_LEAVE: f64 = 0.8;
 
 /// Most that the placement term adds to the score of a machine, in parts of the paper's score of an empty
--- a/crates/latchtrack-balance/src/lib.rs
+++ b/crates/latchtrack-balance/src/lib.rs
@@ -4,6 +4,8 @@
 //! Pure and deterministic: no sockets, clocks, threads or random numbers. Time comes in as an argument.
 //! The crate decides and proposes; `latchtrack-core` launches, stops and checks the rules.
 
+#![deny(missing_docs)]
+
 pub mod amounts;
 pub mod arrivals;
 pub mod balancer;
--- a/crates/latchtrack-balance/src/moves.rs
+++ b/crates/latchtrack-balance/src/moves.rs
@@ -19,6 +19,7 @@
 /// What moves as one: a task of an array, or all tasks of a gang.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct UnitId {
+    /// The job.
     pub job: u64,
     /// None for a whole gang.
     pub task: Option<u32>,
@@ -34,9 +35,13 @@
 /// One task of a move.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Leg {
+    /// Index of the task in its job.
     pub task: u32,
+    /// The machine that it leaves.
     pub source: Arc<str>,
+    /// The machine that it goes to.
     pub target: Arc<str>,
+    /// What it takes of either.
     pub demand: Amounts,
     /// Off its source without a result.
     pub ended: bool,
@@ -101,7 +106,9 @@
 /// The machines at one end of a move.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
+    /// The machines that tasks leave.
     Source,
+    /// The machines that tasks go to.
     Target,
 }
 
@@ -152,11 +159,17 @@
     /// Every task has been told to save and stop.
     StopSent,
     /// A task is off its source without a result.
-    Ended { task: u32 },
+    Ended {
+        /// Its index.
+        task: u32,
+    },
     /// All tasks were launched on their targets, under a new attempt.
     Launched,
     /// A task was seen to run on its target.
-    Runs { task: u32 },
+    Runs {
+        /// Its index.
+        task: u32,
+    },
     /// It can't go on.
     Failed(Reason),
     /// Time passes.
@@ -166,15 +179,19 @@
 /// A move of a task or a whole gang.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Move {
+    /// What moves.
     pub unit: UnitId,
+    /// Each of its tasks.
     pub legs: Vec<Leg>,
+    /// How far it has come.
     pub stage: Stage,
     /// When it came into its stage.
     pub since: Millis,
     /// ms that its tasks take to save.
     pub save_ms: Millis,
-    /// The load of the busiest source when it was planned, in parts of a machine, and the bound.
+    /// The load of the busiest source when it was planned, in parts of a machine.
     pub load: f64,
+    /// The bound that the source was over.
     pub bound: f64,
 }
 
--- a/crates/latchtrack-balance/src/planner.rs
+++ b/crates/latchtrack-balance/src/planner.rs
@@ -17,14 +17,17 @@
 /// A machine, as far as its load is concerned.
 #[derive(Clone, Debug)]
 pub struct MachineLoad {
+    /// Its name.
     pub name: Arc<str>,
     /// Machines of one pool are alike in all that a job may ask for: see [`crate::spread`].
     pub pool: u32,
+    /// What it has.
     pub capacity: Amounts,
     /// What its tasks use and what is reserved on it, without what is about to leave.
     pub used: Amounts,
-    /// Whether tasks may move to it, and from it.
+    /// Whether tasks may move to it.
     pub may_receive: bool,
+    /// Whether tasks may move from it.
     pub may_give: bool,
     /// Whether it is to be relieved if it is over the bound.
     pub may_be_relieved: bool,
@@ -41,13 +44,15 @@
 /// A running task, or the running tasks of a gang.
 #[derive(Clone, Debug)]
 pub struct Movable {
+    /// What would move.
     pub unit: UnitId,
     /// Each task with the index of its machine in the input.
     pub tasks: Vec<(u32, usize)>,
     /// What one task takes.
     pub demand: Amounts,
-    /// s that a task takes to save, and that the move takes in all.
+    /// s that a task takes to save.
     pub save_s: f64,
+    /// s that the move takes in all.
     pub cost_s: f64,
     /// s that it has still to run, as far as its owner's estimate tells.
     pub remaining_s: f64,
@@ -58,7 +63,9 @@
 /// What a plan is made from.
 #[derive(Clone, Debug, Default)]
 pub struct PlanInput {
+    /// All machines.
     pub machines: Vec<MachineLoad>,
+    /// What may move.
     pub movables: Vec<Movable>,
     /// Moves that may begin.
     pub budget: usize,
@@ -71,17 +78,22 @@
 /// A move that should begin.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlannedMove {
+    /// What is to move.
     pub unit: UnitId,
+    /// Each of its tasks.
     pub legs: Vec<Leg>,
+    /// s that its tasks take to save.
     pub save_s: f64,
-    /// The load of its busiest source, in parts of a machine, and the bound that it is over.
+    /// The load of its busiest source, in parts of a machine.
     pub load: f64,
+    /// The bound that the source is over.
     pub bound: f64,
 }
 
 /// The moves that should begin, and what it took to find them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
+    /// The moves that should begin.
     pub moves: Vec<PlannedMove>,
     /// Machines and tasks looked at.
     pub steps: u64,
--- a/crates/latchtrack-core/src/leader/limits.rs
+++ b/crates/latchtrack-core/src/leader/limits.rs
@@ -32,6 +32,18 @@
 }
 
 impl TeamUsages {
+    /// Counts so many tasks of a job.
+    pub fn add(&mut self, spec: &JobSpec, tasks: u32) {
+        match self.teams.get_mut(&spec.team) {
+            Some(usage) => usage.add(spec, tasks),
+            None => {
+                let mut usage = TeamUsage::default();
+                usage.add(spec, tasks);
+                self.teams.insert(spec.team.clone(), usage);
+            }
+        }
+    }
+
     /// What a team uses.
     pub fn of(&self, team: &str) -> TeamUsage {
         self.teams.get(team).copied().unwrap_or_default()
@@ -91,7 +103,7 @@
         let mut used = TeamUsages::default();
         for run in self.machines.values().flat_map(|m| m.runs.values()).filter(|r| r.live()) {
             match &run.spec {
-                Some(spec) => used.teams.entry(spec.team.clone()).or_default().add(spec, 1),
+                Some(spec) => used.add(spec, 1),
                 None => used.unknown_runs = true,
             }
         }
@@ -117,7 +129,7 @@
     /// Counts tasks against their team's limit.
     pub(super) fn count_use(&self, spec: &JobSpec, tasks: u32, round: &mut Round) {
         if self.any_limit() {
-            round.used.teams.entry(spec.team.clone()).or_default().add(spec, tasks);
+            round.used.add(spec, tasks);
         }
     }
 }
--- a/crates/latchtrack-core/tests/simulation/world/mod.rs
+++ b/crates/latchtrack-core/tests/simulation/world/mod.rs
@@ -451,8 +451,9 @@
     cell: Option<String>,
     /// What the cells share, as its leaders want it written.
     shared_writes: Vec<federation::SharedWrite>,
-    /// CPUs of the limited team in use in other cells.
+    /// CPUs of the limited team in use in other cells, and those that its tasks take there, fetching or not.
     used_elsewhere: f64,
+    taken_elsewhere: f64,
     /// Token of the last leader.
     last_token: u64,
 }
@@ -552,6 +553,7 @@
             cell: None,
             shared_writes: Vec::new(),
             used_elsewhere: 0.0,
+            taken_elsewhere: 0.0,
             last_token: 0,
         }
     }
--- a/crates/latchtrack-quota/src/constants.rs
+++ b/crates/latchtrack-quota/src/constants.rs
@@ -28,8 +28,9 @@
 pub const WRITE_GAP_MS: Millis = 500;
 /// ms after a write that was surely not carried out or met another's change.
 pub const RETRY_MS: Millis = 100;
-/// Writes that a cell begins in one step, whatever the number of teams: more wait for the next.
-pub const WRITES_A_STEP: usize = 4;
+/// Writes of a cell that are open at a time, whatever the number of teams: the leader's other writes wait behind
+/// them for their turn.
+pub const WRITES_OPEN: usize = 4;
 /// Part of the limit that a cell takes beside what it can use while nobody else asks, so that not each new job
 /// is a write.
 pub const HEADROOM_PART: u64 = 16;
--- a/crates/latchtrack-quota/src/keeper.rs
+++ b/crates/latchtrack-quota/src/keeper.rs
@@ -1,26 +1,20 @@
 //! What one cell holds of the teams' limits: asks, takes, gives back and reclaims.
 
 use std::collections::BTreeMap;
-use std::fmt;
 
-use crate::amounts::{Amounts, Limit};
+use crate::amounts::Amounts;
 use crate::cells::LeaderlessCells;
 use crate::constants::*;
-use crate::ledger::{Account, LedgerError, Request, TeamLedger};
-use crate::requests::{renewed, Standings, StuckRequests};
-use crate::targets::Claim;
+use crate::decisions::{own_claim, Situation};
+use crate::ledger::{Account, TeamLedger};
+use crate::notices::Notice;
+use crate::requests::Standings;
+use crate::team::{
+    differs, trouble, Ceiling, Known, LaunchLimit, Team, TeamSummary, TeamTerms, TeamUse,
+};
 use crate::view::{DeadCell, LedgerWrite, Presence, View, WriteOutcome};
 use crate::Millis;
 
-/// A team's limit and guarantee as this cell's settings have them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct TeamTerms {
-    /// What all cells together may use.
-    pub limit: Limit,
-    /// What the team is to get at the least.
-    pub guarantee: Amounts,
-}
-
 /// Whose keeper this is.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct KeeperSettings {
@@ -32,260 +26,6 @@
     pub teams: BTreeMap<String, TeamTerms>,
 }
 
-/// What a team uses in the cell, and what it waits for there.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct TeamUse {
-    /// Whether `used` covers all that may be on machines. If not, nothing is given back or taken.
-    pub is_settled: bool,
-    /// All that may be on machines.
-    pub used: Amounts,
-    /// What its waiting tasks would use.
-    pub waiting: Amounts,
-    /// What the next of them to start needs: a task, a slice or a gang.
-    pub next: Amounts,
-    /// All that was started in this term.
-    pub started: Amounts,
-}
-
-/// What a cell may use of a team's limit; None is no limit.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct LaunchLimit {
-    /// Thousandths of a CPU.
-    pub millicpus: Option<u64>,
-    /// Thousandths of a GPU.
-    pub milligpus: Option<u64>,
-}
-
-impl LaunchLimit {
-    /// Nothing may be launched.
-    const NOTHING: LaunchLimit = LaunchLimit { millicpus: Some(0), milligpus: Some(0) };
-
-    fn of(limit: &Limit, amounts: Amounts) -> LaunchLimit {
-        LaunchLimit {
-            millicpus: limit.millicpus.map(|_| amounts.millicpus),
-            milligpus: limit.milligpus.map(|_| amounts.milligpus),
-        }
-    }
-}
-
-/// Something for the log, once each.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Notice {
-    /// The cell's allotment has changed.
-    Allotted {
-        /// The team.
-        team: String,
-        /// From this.
-        from: Amounts,
-        /// To this.
-        to: Amounts,
-    },
-    /// A dead cell's allotment was reclaimed.
-    Reclaimed {
-        /// The team.
-        team: String,
-        /// The dead cells.
-        cells: Vec<String>,
-    },
-    /// The value can't be used; nothing of the team is launched beyond what runs.
-    Unusable {
-        /// The team.
-        team: String,
-        /// Why.
-        why: LedgerError,
-    },
-    /// The value is missing; it is made anew from what the cells run.
-    Missing {
-        /// The team.
-        team: String,
-    },
-    /// More is allotted than the limit.
-    Overdrawn {
-        /// The team.
-        team: String,
-    },
-    /// The value's limit or guarantee is not that of the settings; the value's counts.
-    Differs {
-        /// The team.
-        team: String,
-    },
-}
-
-fn cpus_and_gpus(f: &mut fmt::Formatter<'_>, amounts: &Amounts) -> fmt::Result {
-    let (cpus, gpus) = amounts.decimal();
-    write!(f, "{cpus} CPUs and {gpus} GPUs")
-}
-
-impl fmt::Display for Notice {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Notice::Allotted { team, from, to } => {
-                write!(f, "quota: allotment of team {team} changes from ")?;
-                cpus_and_gpus(f, from)?;
-                write!(f, " to ")?;
-                cpus_and_gpus(f, to)
-            }
-            Notice::Reclaimed { team, cells } => {
-                write!(f, "quota: allotments of team {team} reclaimed from {}", cells.join(", "))
-            }
-            Notice::Unusable { team, why } => {
-                write!(f, "quota: quota/team/{team} {why}; nothing of the team is launched")
-            }
-            Notice::Missing { team } => {
-                write!(f, "quota: quota/team/{team} is missing; made from what the cells run")
-            }
-            Notice::Overdrawn { team } => {
-                write!(f, "quota: quota/team/{team} allots more than its limit; nothing is launched")
-            }
-            Notice::Differs { team } => write!(
-                f,
-                "quota: limit or guarantee of team {team} differ from quota/team/{team}, which counts"
-            ),
-        }
-    }
-}
-
-/// A team's quota for an operator.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct TeamSummary {
-    /// The team.
-    pub team: String,
-    /// Why its value can't be used, if so.
-    pub trouble: Option<String>,
-    /// Whether limit or guarantee of the settings are others.
-    pub differs: bool,
-    /// The limit in force.
-    pub limit: Limit,
-    /// The guarantee in force.
-    pub guarantee: Amounts,
-    /// What may be on this cell's machines.
-    pub used: Amounts,
-    /// What this cell may use just now.
-    pub launch_limit: Amounts,
-    /// The accounts by cell.
-    pub cells: BTreeMap<String, Account>,
-}
-
-/// A team's value as this cell knows it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-enum Known {
-    /// Not looked at yet.
-    #[default]
-    Unseen,
-    /// There was none at this revision.
-    Missing(u64),
-    /// It can't be used.
-    Unusable(u64, LedgerError),
-    /// It was this at this revision.
-    Value(u64, TeamLedger),
-}
-
-impl Known {
-    fn revision(&self) -> u64 {
-        match self {
-            Known::Unseen => 0,
-            Known::Missing(revision) | Known::Unusable(revision, _) => *revision,
-            Known::Value(revision, _) => *revision,
-        }
-    }
-}
-
-/// What the cell may hold at most for as long as the value has this revision: a write that sets its account to
-/// that may be carried out until then.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Ceiling {
-    expect: u64,
-    most: Amounts,
-}
-
-impl Ceiling {
-    /// What of an amount remains at a revision.
-    fn limits(ceiling: &Option<Ceiling>, revision: u64, amounts: Amounts) -> Amounts {
-        match ceiling {
-            Some(ceiling) if ceiling.expect == revision => amounts.least(ceiling.most),
-            _ => amounts,
-        }
-    }
-}
-
-/// Since when the need of a request is met, and what the cell had started by then.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Turn {
-    ticket: u64,
-    since: Millis,
-    started: Amounts,
-}
-
-/// A team in this cell.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct Team {
-    terms: TeamTerms,
-    known: Known,
-    usage: TeamUse,
-    /// The write under way.
-    sent: Option<Ceiling>,
-    /// Writes whose outcome is unknown.
-    unresolved: Option<Ceiling>,
-    launch: Amounts,
-    guarantee: Amounts,
-    idle_since: Option<Millis>,
-    not_before: Millis,
-    refreshed: Option<Millis>,
-    turn: Option<Turn>,
-    no_need_until: Option<Millis>,
-    stuck: StuckRequests,
-    noted: Option<Notice>,
-}
-
-impl Team {
-    /// What the cell surely holds.
-    fn held(&self, cell: &str) -> Amounts {
-        let Known::Value(revision, ledger) = &self.known else { return Amounts::NONE };
-        let stored = ledger.allotted_to(cell);
-        let without_sent = Ceiling::limits(&self.sent, *revision, stored);
-        Ceiling::limits(&self.unresolved, *revision, without_sent)
-    }
-
-    fn limit(&self) -> Limit {
-        match &self.known {
-            Known::Value(_, ledger) => ledger.limit,
-            _ => self.terms.limit,
-        }
-    }
-
-    /// What the cell could use of the limit, with what waits.
-    fn want(&self, limit: &Limit) -> Amounts {
-        limit.counted(self.usage.used.plus(self.usage.waiting)).least(limit.total())
-    }
-
-    /// What the next to start needs; nothing for a while after it was held in vain.
-    fn need(&self, now: Millis, limit: &Limit) -> Amounts {
-        match self.no_need_until.is_some_and(|until| now < until) {
-            true => Amounts::NONE,
-            false => limit.counted(self.usage.next).least(limit.total()),
-        }
-    }
-
-    /// Whether a request has had its turn: its need was met until so much was started, or for long in vain.
-    fn has_had_its_turn(&mut self, now: Millis, request: &Request, allotted: Amounts) -> bool {
-        if request.need == Amounts::NONE || !request.need.fits_in(allotted) {
-            self.turn = None;
-            return false;
-        }
-        let begins = Turn { ticket: request.ticket, since: now, started: self.usage.started };
-        let turn = self.turn.filter(|turn| turn.ticket == request.ticket).unwrap_or(begins);
-        self.turn = Some(turn);
-        if request.need.fits_in(self.usage.started.minus(turn.started)) {
-            return true;
-        }
-        let is_in_vain = now >= turn.since.saturating_add(TURN_MS);
-        if is_in_vain {
-            self.no_need_until = Some(now.saturating_add(TURN_MS));
-        }
-        is_in_vain
-    }
-}
-
 /// The quota of one cell, for one term of its leader.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Keeper {
@@ -368,10 +108,11 @@
         }
         self.set_launch_limits(now);
         let names: Vec<String> = self.teams.keys().cloned().collect();
+        let open = self.teams.values().filter(|team| team.sent.is_some()).count();
         let mut writes = Vec::new();
         let first = self.first % names.len().max(1);
         for i in 0..names.len() {
-            if writes.len() >= WRITES_A_STEP {
+            if open + writes.len() >= WRITES_OPEN {
                 self.first = first + i;
                 break;
             }
@@ -606,105 +347,3 @@
         }
     }
 }
-
-/// What stands in the way of a team's launches, if something does.
-fn trouble(name: &str, team: &Team) -> Option<Notice> {
-    let name = name.to_string();
-    match &team.known {
-        Known::Unseen => None,
-        Known::Missing(_) if !team.terms.limit.is_set() => None,
-        Known::Missing(_) => Some(Notice::Missing { team: name }),
-        Known::Unusable(_, why) => Some(Notice::Unusable { team: name, why: why.clone() }),
-        Known::Value(_, ledger) if ledger.is_overdrawn() => Some(Notice::Overdrawn { team: name }),
-        Known::Value(..) => None,
-    }
-}
-
-/// Whether the settings say otherwise than the value.
-fn differs(team: &Team) -> bool {
-    match &team.known {
-        Known::Value(_, ledger) => {
-            ledger.limit != team.terms.limit || ledger.guarantee != team.terms.guarantee
-        }
-        _ => false,
-    }
-}
-
-/// What this cell claims of a value now. A request that it does not have yet is the newest.
-fn own_claim(now: Millis, ledger: &TeamLedger, cell: &str, team: &Team) -> Claim {
-    let want = team.want(&ledger.limit);
-    let account = ledger.cells.get(cell);
-    let standing = account.and_then(|account| account.request.as_ref());
-    let asks = team.usage.waiting != Amounts::NONE;
-    let (ticket, need) = match standing {
-        Some(request) => (request.ticket, request.need),
-        None => (ledger.next_ticket, team.need(now, &ledger.limit)),
-    };
-    Claim { ticket: asks.then_some(ticket), need, want }
-}
-
-/// A value that is complete, as one cell sees it at a moment.
-struct Situation<'a> {
-    now: Millis,
-    ledger: &'a TeamLedger,
-    standings: &'a Standings,
-    used: Amounts,
-    want: Amounts,
-}
-
-impl Situation<'_> {
-    /// What the cell should hold, never less than it uses.
-    fn next_allotment(&self, team: &mut Team, held: Amounts) -> Amounts {
-        let headroom = self.ledger.limit.total().part(HEADROOM_PART);
-        let is_idle = !held.fits_in(self.want.plus(headroom));
-        team.idle_since = is_idle.then(|| team.idle_since.unwrap_or(self.now));
-        if self.ledger.is_overdrawn() {
-            return held.least(self.used);
-        }
-        let target = self.standings.target().total();
-        if self.standings.others_lack() && !held.fits_in(target) {
-            return held.least(self.used.most(target));
-        }
-        if team.idle_since.is_some_and(|since| self.now >= since + IDLE_RETURN_MS) {
-            return held.least(self.used.most(self.want));
-        }
-        let taken = self.standings.may_take();
-        if taken == Amounts::NONE || self.standings.is_contended() {
-            return held.plus(taken);
-        }
-        // A little more, which nobody asks for, so that not each new job is a write.
-        held.plus(taken.plus(headroom).least(self.ledger.free()))
-    }
-
-    /// The request that the cell should have beside an allotment.
-    fn next_request(
-        &self,
-        team: &mut Team,
-        standing: Option<&Request>,
-        allotted: Amounts,
-        next_ticket: &mut u64,
-    ) -> Option<Request> {
-        let is_covered = self.want.fits_in(allotted);
-        if !self.standings.is_contended() && is_covered {
-            // Whether it stands or not: nobody else asks.
-            return standing.cloned();
-        }
-        if team.usage.waiting == Amounts::NONE {
-            return None;
-        }
-        let had_its_turn =
-            standing.is_some_and(|request| team.has_had_its_turn(self.now, request, allotted));
-        let need = team.need(self.now, &self.ledger.limit);
-        let Some(standing) = standing.filter(|_| !had_its_turn) else {
-            return Some(renewed(None, need, self.want, next_ticket));
-        };
-        let tolerated = self.ledger.limit.total().part(WANT_CHANGE_PART);
-        let change = self.want.minus(standing.want).most(standing.want.minus(self.want));
-        let is_of_use = need == standing.need && change.fits_in(tolerated);
-        let is_fresh = |at: Millis| self.now < at.saturating_add(REQUEST_REFRESH_MS);
-        if is_of_use || team.refreshed.is_some_and(is_fresh) {
-            return Some(standing.clone());
-        }
-        Some(renewed(Some(standing), need, self.want, next_ticket))
-    }
-}
--- a/crates/latchtrack-quota/src/lib.rs
+++ b/crates/latchtrack-quota/src/lib.rs
@@ -10,17 +10,22 @@
 mod amounts;
 mod cells;
 pub mod constants;
+mod decisions;
 mod keeper;
 mod ledger;
+mod notices;
 mod requests;
 mod targets;
+mod team;
 mod view;
 
 pub use amounts::{Amounts, Limit};
 pub use cells::CellRecord;
-pub use keeper::{Keeper, KeeperSettings, LaunchLimit, Notice, TeamSummary, TeamTerms, TeamUse};
+pub use keeper::{Keeper, KeeperSettings};
 pub use ledger::{Account, LedgerError, Request, TeamLedger};
+pub use notices::Notice;
 pub use targets::{guarantee_parts, targets, Claim, Target};
+pub use team::{LaunchLimit, TeamSummary, TeamTerms, TeamUse};
 pub use view::{DeadCell, LedgerWrite, Presence, SeenLedger, View, WriteOutcome};
 
 /// Milliseconds on the local steady clock.
--- a/crates/latchtrack-quota/src/requests.rs
+++ b/crates/latchtrack-quota/src/requests.rs
@@ -13,6 +13,7 @@
 struct Standing {
     cell: String,
     ticket: Option<u64>,
+    need: Amounts,
     held: Amounts,
     target: Target,
 }
@@ -56,6 +57,7 @@
             held: ledger.limit.counted(ledger.allotted_to(&cell)),
             cell,
             ticket: claim.ticket,
+            need: ledger.limit.counted(claim.need),
             target,
         };
         let all = names.into_iter().zip(claims).zip(targets).map(standing).collect();
@@ -82,6 +84,11 @@
         self.others().iter().any(|other| other.ticket.is_some())
     }
 
+    /// Whether the need of any other cell is not met.
+    pub fn others_wait(&self) -> bool {
+        self.others().iter().any(|other| !other.need.fits_in(other.held))
+    }
+
     /// What the cell may take now.
     pub fn may_take(&self) -> Amounts {
         self.shares_of_free()[0]
--- a/crates/latchtrack/src/cli.rs
+++ b/crates/latchtrack/src/cli.rs
@@ -20,6 +20,28 @@
     Check(Files),
     /// Tell what runs where, as the nodes see it, or without a leader as the state service and the workers do
     Status(Files),
+    /// Show what cells share of a team, or change its stored limit and guarantee while they run
+    Limit(LimitArgs),
+}
+
+#[derive(Args, Debug)]
+pub struct LimitArgs {
+    #[command(flatten)]
+    pub files: Files,
+    /// The team
+    pub team: String,
+    /// CPUs that all cells together may use; 0 for no limit
+    #[arg(long)]
+    pub cpus_max: Option<f64>,
+    /// GPUs that all cells together may use; 0 for no limit
+    #[arg(long)]
+    pub gpus_max: Option<f64>,
+    /// CPUs of the guarantee
+    #[arg(long)]
+    pub cpus: Option<f64>,
+    /// GPUs of the guarantee
+    #[arg(long)]
+    pub gpus: Option<f64>,
 }
 
 #[derive(Args, Debug)]
--- a/crates/latchtrack/src/constants.rs
+++ b/crates/latchtrack/src/constants.rs
@@ -170,3 +170,6 @@
 pub const QUOTA_FULL_MS: u64 = 30_000;
 /// ms that a change of what cells share may wait for its turn.
 pub const QUOTA_WAIT_MS: u64 = 5_000;
+/// Times that a change of a limit by an operator tries again when a cell has changed the value meanwhile: cells
+/// write a value a few times a second at most.
+pub const LIMIT_TRIES: usize = 20;
--- a/crates/latchtrack/src/lib.rs
+++ b/crates/latchtrack/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod constants;
 pub mod http;
+pub mod limit;
 pub mod net;
 pub mod node;
 pub mod settings;
--- a/crates/latchtrack/src/main.rs
+++ b/crates/latchtrack/src/main.rs
@@ -4,7 +4,8 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use latchtrack::cli::{Cli, Command, Files};
+use latchtrack::cli::{Cli, Command, Files, LimitArgs};
+use latchtrack::limit::NewTerms;
 use latchtrack::node;
 use latchtrack::settings::Settings;
 
@@ -13,6 +14,7 @@
         Command::Serve(files) => serve(&files),
         Command::Check(files) => check(&files),
         Command::Status(files) => status(&files),
+        Command::Limit(args) => limit(&args),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -44,6 +46,20 @@
     }
 }
 
+fn limit(args: &LimitArgs) -> Result<(), Box<dyn std::error::Error>> {
+    let settings = load(&args.files)?;
+    let terms = NewTerms {
+        cpus_max: args.cpus_max,
+        gpus_max: args.gpus_max,
+        cpus: args.cpus,
+        gpus: args.gpus,
+    };
+    let shown =
+        actix::System::new().block_on(latchtrack::limit::limit(&settings, &args.team, terms))?;
+    print!("{}", serde_yaml_ng::to_string(&shown)?);
+    Ok(())
+}
+
 fn serve(files: &Files) -> Result<(), Box<dyn std::error::Error>> {
     let settings = load(files)?;
     log_level()?;
--- a/crates/latchtrack/src/wire/quota.rs
+++ b/crates/latchtrack/src/wire/quota.rs
@@ -26,7 +26,8 @@
     format!("{LIVE}{cell}")
 }
 
-fn team_key(team: &str) -> String {
+/// The key of a team's value.
+pub fn team_key(team: &str) -> String {
     format!("{TEAMS}{team}")
 }
 
--- a/crates/latchtrack/tests/cells.rs
+++ b/crates/latchtrack/tests/cells.rs
@@ -2,6 +2,7 @@
 
 use latchtrack::actors::namespace::Namespace;
 use latchtrack::actors::store::StoreRequest;
+use latchtrack::limit::{limit, LimitError, NewTerms};
 use latchtrack::node::{self, StartError};
 use latchtrack::settings::{QuotaTuning, Tuning};
 use latchtrack::wire::quota::{campaign_changes, transaction, SharedKeys};
@@ -111,6 +112,47 @@
     assert!(error.to_string().starts_with("quota.cell: east: "), "{error}");
 }
 
+#[test]
+fn new_terms_change_what_they_name_and_refuse_what_makes_no_sense() {
+    let mut ledger = TeamLedger::new(Limit::of(8.0, 2.0), Amounts::covering(4.0, 0.0));
+    let raised = NewTerms { cpus_max: Some(16.0), ..NewTerms::default() };
+    raised.apply(&mut ledger).unwrap();
+    assert_eq!(ledger.limit, Limit::of(16.0, 2.0));
+    let none = NewTerms { gpus_max: Some(0.0), ..NewTerms::default() };
+    none.apply(&mut ledger).unwrap();
+    assert_eq!(ledger.limit, Limit::of(16.0, 0.0));
+    let below = NewTerms { cpus_max: Some(2.0), ..NewTerms::default() };
+    assert!(matches!(below.apply(&mut ledger), Err(LimitError::BelowGuarantee)));
+    for number in [f64::NAN, -1.0, f64::INFINITY] {
+        let bad = NewTerms { cpus: Some(number), ..NewTerms::default() };
+        assert!(matches!(bad.apply(&mut ledger), Err(LimitError::Number("cpus", _))));
+    }
+}
+
+/// An operator changes a limit while a cell runs, which keeps what it holds.
+#[actix_web::test]
+async fn a_limit_is_changed_while_a_cell_runs() {
+    let mut site = cell_site(Default::default());
+    site.teams = json!([{"name": "small", "cpus_max": 2.0}]);
+    let (_, settings) = site.trio_with_settings().await;
+    let unknown = limit(&settings, "nobody", NewTerms::default()).await;
+    assert!(matches!(unknown, Err(LimitError::Unknown(_))));
+    let lowered = NewTerms { cpus_max: Some(1.0), ..NewTerms::default() };
+    for _ in 0..200 {
+        // Until the cell has stored the value.
+        if let Ok(shown) = limit(&settings, "small", lowered).await {
+            assert_eq!(shown.limit.cpus, 1.0);
+            let state = site.state.lock().unwrap();
+            let (value, ..) = &state.keys["quota/team/small"];
+            assert_eq!(value["limit"]["millicpus"], 1_000);
+            assert!(value["cells"]["east"].is_object(), "{value}");
+            return;
+        }
+        actix_web::rt::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    panic!("never stored");
+}
+
 /// What the leader says of the teams that it shares.
 #[actix_web::test]
 async fn status_tells_limit_use_and_allotments_by_cell() {
