Rent only for what a team's limit lets through once machines on their way are up

Cause: in one round each job of a team with a limit rented for all that the limit left to the team, since what machines on their way are to take was not counted; they booted for nothing and went back. Change: a round counts it (Round::expected), for renting alone; room that is up is given out as before.

--- a/crates/latchtrack-core/src/leader/limits.rs
+++ b/crates/latchtrack-core/src/leader/limits.rs
@@ -130,6 +130,14 @@
     pub(super) fn count_use(&self, spec: &JobSpec, tasks: u32, round: &mut Round) {
         if self.any_limit() {
             round.used.add(spec, tasks);
+            round.expected.add(spec, tasks);
+        }
+    }
+
+    /// Counts tasks that machines on their way are to take.
+    pub(super) fn count_expected(&self, spec: &JobSpec, tasks: u32, round: &mut Round) {
+        if tasks > 0 && self.any_limit() {
+            round.expected.add(spec, tasks);
         }
     }
 }
--- a/crates/latchtrack-core/src/leader/placing.rs
+++ b/crates/latchtrack-core/src/leader/placing.rs
@@ -51,8 +51,9 @@
         }
         let (rooms, total) = self.rooms(now);
         let used = self.used_by_teams();
+        let expected = used.clone();
         let shapes = self.shapes.nothing_found();
-        let mut round = Round { rooms, total, shapes, used };
+        let mut round = Round { rooms, total, shapes, used, expected };
         let unsettled = !self.all_settled();
         self.gathering.clear();
         self.next_of_teams.clear();
@@ -210,8 +211,15 @@
             round.shapes[shape].no_ready = true;
             round.shapes[shape].no_held |= impatient;
         }
+        // No machine is rented for what the team's limit would hold back once the others are up.
+        left = left.min(self.limit_left(&spec, &round.expected));
+        if left == 0 {
+            return;
+        }
         if !round.shapes[shape].no_promise {
-            left -= fill_promised(&spec, only.as_deref(), left, round);
+            let promised = fill_promised(&spec, only.as_deref(), left, round);
+            self.count_expected(&spec, promised, round);
+            left -= promised;
             if left == 0 {
                 return;
             }
@@ -222,6 +230,7 @@
             if rented == 0 && !bound && only.is_some() {
                 rented = self.rent(now, &spec, None, left, passed, round);
             }
+            self.count_expected(&spec, rented, round);
             left -= rented;
             if left == 0 {
                 return;
--- a/crates/latchtrack-core/src/leader/rooms.rs
+++ b/crates/latchtrack-core/src/leader/rooms.rs
@@ -16,6 +16,8 @@
     pub shapes: Vec<Found>,
     /// What teams use, if any has a limit.
     pub used: TeamUsages,
+    /// The same with what this round counts on machines that are on their way.
+    pub expected: TeamUsages,
 }
 
 impl Cluster {
--- a/crates/latchtrack-core/tests/renting.rs
+++ b/crates/latchtrack-core/tests/renting.rs
@@ -109,3 +109,25 @@
     }
     assert_eq!(c.jobs()[&JobId(1)].placed.len(), 2);
 }
+
+/// A day with team limits that bind: each job of a team rented for what the limit left to the whole team, so
+/// that several times the machines were rented, booted for nothing and went back.
+#[test]
+fn no_machine_is_rented_for_what_a_teams_limit_holds_back() {
+    let mut policy = patient();
+    // Two tasks, which one machine takes.
+    policy.teams[0].cpus_max = 2.0 * spec(1, 1).demand.cpus;
+    let mut c = Cluster::new(policy, STAMPS, types(), Vec::new(), Vec::new(), 1_000);
+    for id in 1..=5 {
+        c.handle(1_000, Event::Job { spec: spec(id, 10), submitted_at: 0, stamp: 8, done: None });
+    }
+    let mut rented = 0;
+    for now in (1_200..5_000).step_by(200) {
+        for effect in c.handle(now, Event::Tick) {
+            if let Effect::Hire { number, .. } = effect {
+                rented += number;
+            }
+        }
+    }
+    assert_eq!(rented, 1);
+}
