--- a/crates/latchtrack-quota/src/keeper.rs
+++ b/crates/latchtrack-quota/src/keeper.rs
@@ -95,9 +95,10 @@
         limit.is_set().then(|| LaunchLimit::of(&limit, team.launch))
     }
 
-    /// The cell's part of a team's guarantee; None if the team is not shared.
+    /// The cell's part of a team's guarantee; None if the team has no limit and so is not shared.
     pub fn guarantee(&self, team: &str) -> Option<Amounts> {
-        self.teams.get(team).map(|team| team.guarantee)
+        let team = self.teams.get(team)?;
+        team.limit().is_set().then_some(team.guarantee)
     }
 
     /// What is to be written, by what the teams use now. Launch limits are lowered before it returns: the
--- a/crates/latchtrack-quota/src/ledger.rs
+++ b/crates/latchtrack-quota/src/ledger.rs
@@ -101,6 +101,13 @@
         serde_json::from_str(text).map_err(garbled)
     }
 
+    /// Has every cell enter what it runs anew, before anybody takes anything. For a resource that had no limit
+    /// until now, of which no account says anything.
+    pub fn reopen(&mut self) {
+        self.cells.clear();
+        self.complete = false;
+    }
+
     /// What is allotted to all cells together.
     pub fn allotted(&self) -> Amounts {
         self.cells.values().fold(Amounts::NONE, |sum, account| sum.plus(account.allotted))
--- a/crates/latchtrack/src/limit.rs
+++ b/crates/latchtrack/src/limit.rs
@@ -73,9 +73,11 @@
         Ok(())
     }
 
-    /// Changes a value's limit and guarantee. What is allotted stays: cells give back what is beyond.
+    /// Changes a value's limit and guarantee. What is allotted stays, and cells give back what is beyond; but for
+    /// a resource that had no limit they enter first what they use of it.
     pub fn apply(&self, ledger: &mut TeamLedger) -> Result<(), LimitError> {
         self.check()?;
+        let before = ledger.limit;
         let new = Limit::of(self.cpus_max.unwrap_or(0.0), self.gpus_max.unwrap_or(0.0));
         if self.cpus_max.is_some() {
             ledger.limit.millicpus = new.millicpus;
@@ -83,6 +85,12 @@
         if self.gpus_max.is_some() {
             ledger.limit.milligpus = new.milligpus;
         }
+        let is_new = |before: Option<u64>, now: Option<u64>| before.is_none() && now.is_some();
+        if is_new(before.millicpus, ledger.limit.millicpus)
+            || is_new(before.milligpus, ledger.limit.milligpus)
+        {
+            ledger.reopen();
+        }
         let new = Amounts::covering(self.cpus.unwrap_or(0.0), self.gpus.unwrap_or(0.0));
         if self.cpus.is_some() {
             ledger.guarantee.millicpus = new.millicpus;
--- a/crates/latchtrack/tests/cells.rs
+++ b/crates/latchtrack/tests/cells.rs
@@ -7,7 +7,7 @@
 use latchtrack::settings::{QuotaTuning, Tuning};
 use latchtrack::wire::quota::{campaign_changes, transaction, SharedKeys};
 use latchtrack::wire::store::{Change, Condition, Txn};
-use latchtrack_quota::{Amounts, CellRecord, DeadCell, LedgerWrite, Limit, TeamLedger};
+use latchtrack_quota::{Account, Amounts, CellRecord, DeadCell, LedgerWrite, Limit, TeamLedger};
 use latchtrack_standins::site::{site_at, Site};
 use latchtrack_standins::until;
 use serde_json::json;
@@ -121,6 +121,13 @@
     let none = NewTerms { gpus_max: Some(0.0), ..NewTerms::default() };
     none.apply(&mut ledger).unwrap();
     assert_eq!(ledger.limit, Limit::of(16.0, 0.0));
+    // What cells use of a resource without a limit stands in no account.
+    ledger.complete = true;
+    ledger.cells.insert("east".into(), Account::default());
+    raised.apply(&mut ledger).unwrap();
+    assert!(ledger.complete && ledger.cells.len() == 1);
+    NewTerms { gpus_max: Some(2.0), ..NewTerms::default() }.apply(&mut ledger).unwrap();
+    assert!(!ledger.complete && ledger.cells.is_empty());
     let below = NewTerms { cpus_max: Some(2.0), ..NewTerms::default() };
     assert!(matches!(below.apply(&mut ledger), Err(LimitError::BelowGuarantee)));
     for number in [f64::NAN, -1.0, f64::INFINITY] {
--- a/crates/latchtrack/tests/settings.rs
+++ b/crates/latchtrack/tests/settings.rs
@@ -154,3 +154,14 @@
     s.tuning = parse_tuning("quota: {cell: east, cells: [west, east]}").unwrap();
     assert_eq!((s.key_prefix().as_str(), s.cells()), ("cells/east/", 2));
 }
+
+#[test]
+fn the_files_under_deploy_are_valid() {
+    let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy");
+    for (file, shares) in [("run.yaml", false), ("cells.yaml", true)] {
+        let text = std::fs::read_to_string(format!("{deploy}/{file}")).unwrap();
+        let tuning = parse_tuning(&text).unwrap();
+        assert_eq!(tuning.quota.is_some(), shares, "{file}");
+        Settings { tuning, ..sample() }.check().unwrap();
+    }
+}
