--- a/crates/latchtrack-standins/src/race.rs
+++ b/crates/latchtrack-standins/src/race.rs
@@ -390,6 +390,8 @@
         site.teams = teams.collect();
         site.workers = json!({"report_s": REPORT_MS as f64 / 1e3, "lease_s": LEASE_MS as f64 / 1e3,
             "cancel_s": 10.0});
+        // Eight accounts of the longest fit in.
+        site.next_value_kb = 4.0;
         let quota = QuotaTuning {
             cell: cell_name(index),
             cells: (0..options.cells).map(cell_name).collect(),
