--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -737,6 +737,10 @@
     token_change_at: Option<Instant>,
     last_report: Option<Instant>,
     pub net: Net,
+    /// The network is back from this time on, when the worker next sends a report.
+    pub back_from: Option<Instant>,
+    /// The network is lost again as soon as a report is answered with a higher token.
+    pub cut_after_new_token: bool,
     pub gone: bool,
     /// Answered reports: time sent, token of the report, token of the answer.
     pub answered: Vec<(Instant, u64, u64)>,
@@ -812,6 +816,8 @@
             token_change_at: None,
             last_report: None,
             net: Net::Up,
+            back_from: None,
+            cut_after_new_token: false,
             gone: false,
             answered: Vec::new(),
             do_calls: 0,
@@ -840,6 +846,13 @@
         })
     }
 
+    /// Returns the tasks that are on a machine, running.
+    pub fn running_on(&self, name: &str) -> Vec<String> {
+        let spans = self.spans.lock().unwrap();
+        let here = spans.iter().filter(|span| span.to.is_none() && span.machine == name);
+        here.map(|span| span.task.clone()).collect()
+    }
+
     pub fn machine(&self, name: &str) -> Option<Arc<Mutex<MachineInner>>> {
         self.machines.lock().unwrap().get(name).cloned()
     }
@@ -1093,6 +1106,11 @@
                 if now < m.report_due {
                     continue;
                 }
+                if m.back_from.is_some_and(|from| now >= from) {
+                    m.back_from = None;
+                    m.net = Net::Up;
+                    self.record.line(format!("{} has its network back", m.name));
+                }
                 let jitter = 0.75 + 0.5 * self.random();
                 m.report_due = now + Duration::from_secs_f64(self.report_s * jitter);
                 m.last_report = Some(now);
@@ -1131,6 +1149,11 @@
                                 m.name
                             ));
                         }
+                        if m.cut_after_new_token && token != answer_token {
+                            m.cut_after_new_token = false;
+                            m.net = Net::Cut;
+                            self.record.line(format!("{} loses the network again", m.name));
+                        }
                     }
                 }
                 Some((421, body)) => {
@@ -1217,7 +1240,7 @@
     }
 
     fn handle(&self, request: &Request) -> Option<Answer> {
-        thread::sleep(Duration::from_millis(30));
+        thread::sleep(Duration::from_millis(80));
         if self.down.load(Ordering::Relaxed) {
             return answer(503, obj(vec![("error", s("trouble"))]));
         }
