--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -23,6 +23,9 @@
 const LEASE_S: f64 = 45.0;
 /// How long the first cut lasts; the worker's next report after that gets through.
 const FIRST_CUT_S: f64 = 24.0;
+/// How long the network is back after the first answer; the worker's next report comes half a second
+/// after the one before at the earliest.
+const BACK_S: f64 = 0.25;
 /// `restart_delay_s` of the site.
 const RESTART_DELAY_S: f64 = 6.0;
 
@@ -117,7 +120,7 @@
             let mut machine = machine.lock().unwrap();
             machine.net = Net::Cut;
             machine.back_from = Some(begun + Duration::from_secs_f64(FIRST_CUT_S));
-            machine.cut_after_new_token = true;
+            machine.cut_after_new_token = Some(Duration::from_secs_f64(BACK_S));
         }
         for node in nodes.iter_mut().filter(|node| node.name == leader) {
             record.line(format!("{leader}, which leads with token {token}, is killed"));
--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -739,8 +739,9 @@
     pub net: Net,
     /// The network is back from this time on, when the worker next sends a report.
     pub back_from: Option<Instant>,
-    /// The network is lost again as soon as a report is answered with a higher token.
-    pub cut_after_new_token: bool,
+    /// The network is lost again this long after a report was answered with a higher token.
+    pub cut_after_new_token: Option<Duration>,
+    cut_at: Option<Instant>,
     pub gone: bool,
     /// Answered reports: time sent, token of the report, token of the answer.
     pub answered: Vec<(Instant, u64, u64)>,
@@ -817,7 +818,8 @@
             last_report: None,
             net: Net::Up,
             back_from: None,
-            cut_after_new_token: false,
+            cut_after_new_token: None,
+            cut_at: None,
             gone: false,
             answered: Vec::new(),
             do_calls: 0,
@@ -919,6 +921,11 @@
                 return;
             }
             let now = Instant::now();
+            if m.cut_at.is_some_and(|at| now >= at) {
+                m.cut_at = None;
+                m.net = Net::Cut;
+                self.record.line(format!("{} loses the network again", m.name));
+            }
             if now.duration_since(m.lease_from).as_secs_f64() > self.lease_s {
                 self.drop_tasks(&mut m);
                 m.shift += 1;
@@ -1149,10 +1156,9 @@
                                 m.name
                             ));
                         }
-                        if m.cut_after_new_token && token != answer_token {
-                            m.cut_after_new_token = false;
-                            m.net = Net::Cut;
-                            self.record.line(format!("{} loses the network again", m.name));
+                        if let (Some(after), true) = (m.cut_after_new_token, token != answer_token) {
+                            m.cut_after_new_token = None;
+                            m.cut_at = Some(now + after);
                         }
                     }
                 }
