--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -21,8 +21,9 @@
 "machine_limits": {"cpu": 0.24, "mem_mb": 200.0, "max_sockets": 4000}, "clock_off_ms": 1000.0}"#;
 /// The workers' lease, as in `PARAMS`.
 const LEASE_S: f64 = 45.0;
-/// How long the first cut lasts; the worker's next report after that gets through.
-const FIRST_CUT_S: f64 = 24.0;
+/// How long the first cut lasts at least; then a report of the worker gets through, at a moment when
+/// no call of the leader is due.
+const FIRST_CUT_S: f64 = 23.0;
 /// How long the network is back after the first answer; the worker's next report comes half a second
 /// after the one before at the earliest.
 const BACK_S: f64 = 0.25;
--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -687,6 +687,9 @@
 
 // ---------------------------------------------------------------- The machines
 
+/// After a call without an answer, the leader's next one to the same machine comes 3.5 s later.
+const QUIET: Duration = Duration::from_millis(3_000);
+
 /// What a submitted job's tasks do on a machine.
 #[derive(Clone)]
 pub struct JobProfile {
@@ -737,8 +740,10 @@
     token_change_at: Option<Instant>,
     last_report: Option<Instant>,
     pub net: Net,
-    /// The network is back from this time on, when the worker next sends a report.
+    /// The network is back from this time on, when the worker next sends a report and the last
+    /// direct call was lost less than `QUIET` ago.
     pub back_from: Option<Instant>,
+    last_lost_call: Option<Instant>,
     /// The network is lost again this long after a report was answered with a higher token.
     pub cut_after_new_token: Option<Duration>,
     cut_at: Option<Instant>,
@@ -818,6 +823,7 @@
             last_report: None,
             net: Net::Up,
             back_from: None,
+            last_lost_call: None,
             cut_after_new_token: None,
             cut_at: None,
             gone: false,
@@ -1065,7 +1071,14 @@
     }
 
     fn direct_call(&self, machine: &Mutex<MachineInner>, request: &Request) -> Option<Answer> {
-        if machine.lock().unwrap().net == Net::Cut {
+        let is_cut = {
+            let mut m = machine.lock().unwrap();
+            if m.net == Net::Cut {
+                m.last_lost_call = Some(Instant::now());
+            }
+            m.net == Net::Cut
+        };
+        if is_cut {
             // The packets are lost: the caller hears nothing.
             thread::sleep(Duration::from_secs(10));
             return None;
@@ -1113,7 +1126,8 @@
                 if now < m.report_due {
                     continue;
                 }
-                if m.back_from.is_some_and(|from| now >= from) {
+                let is_quiet = m.last_lost_call.is_some_and(|at| at.elapsed() < QUIET);
+                if is_quiet && m.back_from.is_some_and(|from| now >= from) {
                     m.back_from = None;
                     m.net = Net::Up;
                     self.record.line(format!("{} has its network back", m.name));
@@ -1344,11 +1358,21 @@
 
 // ---------------------------------------------------------------- The nodes
 
-/// Reserves free loopback ports.
+/// Returns free loopback ports below those that the system gives to outgoing connections, so that
+/// none is taken before a node binds it, or while a node is down.
 pub fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
-    listeners.iter().map(|listener| listener.local_addr().expect("a bound socket")).collect()
+    let spread = std::process::id() as u64 * 7_919 + Instant::now().elapsed().as_nanos() as u64;
+    let mut port = 10_000 + (spread % 20_000) as u16;
+    let mut found: Vec<TcpListener> = Vec::new();
+    for _ in 0..20_000 {
+        if found.len() == count {
+            break;
+        }
+        port = if port >= 30_000 { 10_000 } else { port + 1 };
+        found.extend(TcpListener::bind(("127.0.0.1", port)).ok());
+    }
+    assert_eq!(found.len(), count, "free ports");
+    found.iter().map(|listener| listener.local_addr().expect("a bound socket")).collect()
 }
 
 pub struct Node {
