Scheduler: a module of its own for the workers' leases

What depends on a lease that is over moves to scheduler/worker_leases.rs unchanged.

No behaviour changes.

--- a/crates/latchtrack-core/src/scheduler/mod.rs
+++ b/crates/latchtrack-core/src/scheduler/mod.rs
@@ -48,6 +48,7 @@
 mod task_runs;
 mod team_limits;
 mod termination;
+mod worker_leases;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
