Count a worker's lease from the last heartbeat that this leader answered

Cause: a heartbeat with an older token is answered with 200 and the new token, which renews the worker's lease. The leader recorded nothing of it and released the machine when a lease had passed since the start of its term, 19 s before the renewed lease ended.

The leader's log could not tell an answered machine from a silent one: the new line `heartbeat with an older token answered` and the field `lease_from_ms` do.

Change: a heartbeat with an older token, newest of its machine and within a lease of the start of the term, moves the moment from which that lease is counted. One that comes later proves by its token that its worker was not answered in this term, so a machine that hears no answers is waited for during two leases at most.

Why it works: only the leader's 200 renews, and the worker counts from the sending, which is before the arrival that the leader counts from (docs/design.md, "Which answers renew a lease").

--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -132,6 +132,9 @@
     /// Heartbeats with an older token prove nothing: they may be delayed copies from before this
     /// term, even from a machine that no longer exists.
     pub last_heartbeat_at: Option<Millis>,
+    /// The time of the last heartbeat with an older token whose answer may have renewed the lease
+    /// that the worker held before this term, or `None` if there was none.
+    pub older_token_heartbeat_at: Option<Millis>,
     /// The time since which heartbeats are expected: that of its first message in this term, or the
     /// start of the term if it is inherited.
     pub heartbeat_expected_since: Option<Millis>,
@@ -179,6 +182,7 @@
             inherited: false,
             latest_message: MessageNumber::default(),
             last_heartbeat_at: None,
+            older_token_heartbeat_at: None,
             heartbeat_expected_since: None,
             unanswered_calls: 0,
             preempt_at: None,
--- a/crates/latchtrack-core/src/scheduler/failure_detector.rs
+++ b/crates/latchtrack-core/src/scheduler/failure_detector.rs
@@ -291,7 +291,7 @@
                 self.policy.reconcile_timeout_ms
             };
             // Silence counts against the machine only if it also left direct calls unanswered: a
-            // slow node processes heartbeats late. Past its lease it has no tasks in any case.
+            // slow node processes heartbeats late. After a whole lease it is given up in any case.
             let is_unresponsive =
                 machine.unanswered_calls >= MIN_UNANSWERED_CALLS || machine.addr.is_none();
             silent_ms >= timeout_ms
--- a/crates/latchtrack-core/src/scheduler/heartbeats.rs
+++ b/crates/latchtrack-core/src/scheduler/heartbeats.rs
@@ -77,6 +77,7 @@
         machine.latest_message = number;
         if heartbeat.token < self.token {
             record_address(machine, now, heartbeat);
+            self.record_older_token(now, heartbeat);
             return ReconcileOutcome::Ignored;
         }
         self.record_heartbeat(now, heartbeat);
@@ -208,8 +209,8 @@
     }
 }
 
-/// Records the address from a heartbeat with an older token if none is known. Nothing else in the
-/// heartbeat is used, since it may be a late duplicate.
+/// Records the address from a heartbeat with an older token if none is known. Nothing that it says
+/// about the machine is used, since it may be a late duplicate.
 fn record_address(machine: &mut Machine, now: Millis, heartbeat: &Heartbeat) {
     if machine.addr.is_none() {
         machine.addr = Some(heartbeat.addr.clone());
--- a/crates/latchtrack-core/src/scheduler/log_events.rs
+++ b/crates/latchtrack-core/src/scheduler/log_events.rs
@@ -72,6 +72,18 @@
         machine: String,
         /// Time since the start of this term, in ms.
         term_ms: Millis,
+        /// Time from which its lease was counted, in ms since the start of this term.
+        lease_from_ms: Millis,
+    },
+    /// The heartbeat of a machine of an earlier leader carried an older token. Its answer renews the
+    /// worker's lease.
+    OlderTokenAnswered {
+        /// Name of the machine.
+        machine: String,
+        /// Token in the heartbeat.
+        heartbeat_token: u64,
+        /// Time since the start of this term, in ms.
+        term_ms: Millis,
     },
     /// A machine sends heartbeats but does not start its tasks; it is terminated.
     LaunchesIgnored {
@@ -202,6 +214,7 @@
             LogEvent::UnreconciledMachineExpired { .. } => {
                 "worker lease of unreconciled machine expired, terminating it"
             }
+            LogEvent::OlderTokenAnswered { .. } => "heartbeat with an older token answered",
             LogEvent::LaunchesIgnored { .. } => "machine ignores launches, terminating it",
             LogEvent::MachineNeverJoined { .. } => "machine never joined, terminating it",
             LogEvent::MachineSlow { .. } => "machine is slow, terminating it once it is empty",
@@ -245,8 +258,11 @@
             | LogEvent::AgentEpochAdvanced { machine, task_runs } => {
                 write!(f, " machine={machine} task_runs={task_runs}")
             }
-            LogEvent::UnreconciledMachineExpired { machine, term_ms } => {
-                write!(f, " machine={machine} term_ms={term_ms}")
+            LogEvent::UnreconciledMachineExpired { machine, term_ms, lease_from_ms } => {
+                write!(f, " machine={machine} term_ms={term_ms} lease_from_ms={lease_from_ms}")
+            }
+            LogEvent::OlderTokenAnswered { machine, heartbeat_token, term_ms } => {
+                write!(f, " machine={machine} heartbeat_token={heartbeat_token} term_ms={term_ms}")
             }
             LogEvent::MachineFailed { machine }
             | LogEvent::MachineUnlisted { machine }
--- a/crates/latchtrack-core/src/scheduler/worker_leases.rs
+++ b/crates/latchtrack-core/src/scheduler/worker_leases.rs
@@ -5,18 +5,48 @@
 use super::log_events::LogEvent;
 use super::messages::Effect;
 use super::Scheduler;
+use crate::machine::Heartbeat;
 use crate::Millis;
 
 impl Scheduler {
+    /// Records a heartbeat with an older token, whose answer renews the worker's lease before this
+    /// leader hears which tasks the worker has. A worker that shows an older token when a lease has
+    /// passed since the start of the term was not answered in that time: its lease has expired, and
+    /// a renewal concerns none of the tasks of earlier leaders.
+    pub(super) fn record_older_token(&mut self, now: Millis, heartbeat: &Heartbeat) {
+        let term_ms = self.term_ms(now);
+        let Some(machine) = self.inventory.get_mut(&heartbeat.machine) else { return };
+        if !machine.is_unreconciled() || term_ms >= self.policy.worker_lease_expiry_ms() {
+            return;
+        }
+        machine.older_token_heartbeat_at = Some(now);
+        self.effects.push(Effect::Log(LogEvent::OlderTokenAnswered {
+            machine: heartbeat.machine.clone(),
+            heartbeat_token: heartbeat.token,
+            term_ms,
+        }));
+    }
+
     /// Releases what depends on worker leases that have expired.
     pub(super) fn expire_worker_leases(&mut self, now: Millis) {
         self.release_expired_runs(now);
-        let term_ms = now.saturating_sub(self.term_started_at);
-        if term_ms >= self.policy.worker_lease_expiry_ms() {
-            self.release_unreconciled(term_ms);
+        if self.term_ms(now) >= self.policy.worker_lease_expiry_ms() {
+            self.drop_unreadable_machine_sets();
+            self.release_unreconciled(now);
+        }
+    }
+
+    fn drop_unreadable_machine_sets(&mut self) {
+        if self.persistence.drop_unreadable_machine_sets() {
+            self.cycle_timer.request();
         }
     }
 
+    /// Returns the time since the start of this term, in ms.
+    fn term_ms(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.term_started_at)
+    }
+
     /// Releases the task runs of machines whose worker lease has expired. A worker whose heartbeats
     /// nobody answered for its lease plus a margin has killed its tasks and advanced to the next
     /// agent epoch, so commands in flight are void. The machine is kept, as it may only be
@@ -46,20 +76,25 @@
     }
 
     /// Terminates machines of earlier leaders that have not reported this term's token within a
-    /// worker lease from the start of the term, so that no job waits for them. Nobody else can have
-    /// answered them since, so they have killed their tasks, and any command in flight belongs to
-    /// an expired agent epoch.
-    fn release_unreconciled(&mut self, term_ms: Millis) {
-        if self.persistence.drop_unreadable_machine_sets() {
-            self.cycle_timer.request();
-        }
+    /// worker lease, so that no job waits for them. The lease is counted from the last time at which
+    /// this leader may have renewed it, or from the start of the term: nobody else can have answered
+    /// them since. So they have killed their tasks, and any command in flight belongs to an expired
+    /// agent epoch.
+    fn release_unreconciled(&mut self, now: Millis) {
+        let lease_expiry_ms = self.policy.worker_lease_expiry_ms();
         for machine in self.inventory.iter_mut().filter(|machine| machine.is_unreconciled()) {
+            let lease_from = machine.older_token_heartbeat_at.unwrap_or(self.term_started_at);
+            if now < lease_from.saturating_add(lease_expiry_ms) {
+                continue;
+            }
             machine.inherited = false;
             machine.to_terminate = true;
             self.cycle_timer.request();
-            let machine = machine.name.to_string();
-            let event = LogEvent::UnreconciledMachineExpired { machine, term_ms };
-            self.effects.push(Effect::Log(event));
+            self.effects.push(Effect::Log(LogEvent::UnreconciledMachineExpired {
+                machine: machine.name.to_string(),
+                term_ms: now.saturating_sub(self.term_started_at),
+                lease_from_ms: lease_from.saturating_sub(self.term_started_at),
+            }));
         }
     }
 }
--- a/crates/latchtrack-core/tests/log_events.rs
+++ b/crates/latchtrack-core/tests/log_events.rs
@@ -75,6 +75,27 @@
     );
 }
 
+#[test]
+fn events_of_worker_leases_tell_from_when_a_lease_is_counted() {
+    let machine = "m-1".to_string();
+    let answered = LogEvent::OlderTokenAnswered {
+        machine: machine.clone(),
+        heartbeat_token: 41,
+        term_ms: 24_000,
+    };
+    assert_eq!(
+        answered.to_string(),
+        "heartbeat with an older token answered machine=m-1 heartbeat_token=41 term_ms=24000"
+    );
+    let expired =
+        LogEvent::UnreconciledMachineExpired { machine, term_ms: 74_000, lease_from_ms: 24_000 };
+    assert_eq!(
+        expired.to_string(),
+        "worker lease of unreconciled machine expired, terminating it machine=m-1 \
+         term_ms=74000 lease_from_ms=24000"
+    );
+}
+
 #[test]
 fn quota_notices_are_logged_unchanged() {
     let notice = Notice::Problem { team: "red".to_string(), problem: LedgerProblem::Missing };
--- a/crates/latchtrack-core/tests/simulation/fault_interactions.rs
+++ b/crates/latchtrack-core/tests/simulation/fault_interactions.rs
@@ -272,6 +272,24 @@
     assert!(terms >= 8 * 8, "{terms} terms");
 }
 
+/// The network of the machines flaps as a leader ends: the next leader answers them on its
+/// predecessor's token, and then they cannot be reached. The cloud terminates none of them.
+#[test]
+fn machines_are_answered_once_between_two_disconnections_at_a_failover() {
+    let plan: Vec<_> = [(20_000, 7_000), (90_000, 10_000)]
+        .into_iter()
+        .flat_map(|(at, first_ms)| {
+            [
+                (at, FlapMachines(0.6, first_ms, 30_000)),
+                (at + 100, CrashNodes(1, 6_000)),
+                (at + 100, CloudOutage(45_000)),
+            ]
+        })
+        .collect();
+    let min_occurrences = [("answered between two disconnections", 300)];
+    check_runs_with("flapping", CROWDED, 0..24, &plan, &min_occurrences);
+}
+
 /// All faults of this file at once, with random faults beside them.
 #[test]
 fn all_fault_interactions_at_once() {
--- a/crates/latchtrack-core/tests/simulation/world/effects.rs
+++ b/crates/latchtrack-core/tests/simulation/world/effects.rs
@@ -107,9 +107,13 @@
         let name = direct_call.worker.clone();
         let worker = self.workers.get(&name);
         let is_cut_off = worker.is_none_or(|worker| self.now < worker.unreachable_until());
+        let is_disconnected = worker.is_some_and(|worker| self.now < worker.disconnected_until);
         let event =
             Event::CallFinished { machine: name.clone(), call, outcome: CallOutcome::NoAnswer };
         self.post(CALL_TIMEOUT_MS, Message::Event { origin, event });
+        if is_disconnected {
+            return;
+        }
         let partition = self.partition_between(&name, origin.node);
         let delay = if let Some(until) = partition {
             until - self.now + self.rng.random_range(1..500)
--- a/crates/latchtrack-core/tests/simulation/world/faults.rs
+++ b/crates/latchtrack-core/tests/simulation/world/faults.rs
@@ -52,6 +52,11 @@
     LoseOutbound(f64, u64),
     /// This share of the machines is partitioned; what they send is delayed or lost.
     PartitionMachines(f64, u64),
+    /// This share of the machines is disconnected for the first time, answered once by a node that
+    /// it reaches, and at that moment disconnected for the second time.
+    FlapMachines(f64, u64, u64),
+    /// The cloud's interface does not respond for this time.
+    CloudOutage(u64),
     /// Users cancel this many running jobs, and some of the machines hang for this time.
     CancelRunning(usize, u64),
     /// For this time, this share of the finishing jobs is cancelled as the last task completes.
@@ -165,6 +170,8 @@
             Fault::PartitionMachines(share, ms) => {
                 self.on_machines(share, |w| w.partitioned_until = now + ms);
             }
+            Fault::FlapMachines(share, first, second) => self.flap_machines(share, first, second),
+            Fault::CloudOutage(ms) => active.cloud_down_until = now + ms,
             Fault::CancelRunning(count, hang_ms) => self.cancel_running(count, hang_ms),
             Fault::CancelAtCompletion(share, ms) => {
                 active.cancelled_at_completion = share_until(share, ms);
@@ -187,6 +194,14 @@
         }
     }
 
+    fn flap_machines(&mut self, share: f64, first_ms: u64, second_ms: u64) {
+        let until = self.now + first_ms;
+        self.on_machines(share, |worker| {
+            worker.disconnected_until = until;
+            worker.next_disconnection_ms = Some(second_ms);
+        });
+    }
+
     /// Crashes the current leader, and plans to crash whichever node leads after each interval.
     fn begin_rolling_restart(&mut self, leader: usize, interval_ms: u64) {
         self.crash(leader);
--- a/crates/latchtrack-core/tests/simulation/world/messages.rs
+++ b/crates/latchtrack-core/tests/simulation/world/messages.rs
@@ -251,7 +251,17 @@
         }
         worker.token = token;
         worker.lease_from = worker.lease_from.max(sent_at);
+        let is_flapping = match worker.next_disconnection_ms.take() {
+            Some(ms) => {
+                worker.disconnected_until = now + ms;
+                true
+            }
+            None => false,
+        };
         self.execute(&name, &commands);
+        if is_flapping {
+            self.record_occurrence("answered between two disconnections");
+        }
     }
 
     /// Points a worker to the leader, or to the next node if there is no other leader.
@@ -270,7 +280,8 @@
     fn deliver_call(&mut self, direct_call: DirectCall) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&direct_call.worker) else { return };
-        if !worker.alive || now < worker.up_at || worker.agent_epoch == 0 {
+        let is_disconnected = now < worker.disconnected_until;
+        if !worker.alive || now < worker.up_at || worker.agent_epoch == 0 || is_disconnected {
             return;
         }
         if now < worker.hung_until {
--- a/crates/latchtrack-core/tests/simulation/world/state.rs
+++ b/crates/latchtrack-core/tests/simulation/world/state.rs
@@ -116,6 +116,10 @@
     pub next_heartbeat: u64,
     /// Until then messages to and from it are lost or delayed.
     pub partitioned_until: u64,
+    /// Until then no connection to or from it is established, so that messages are lost.
+    pub disconnected_until: u64,
+    /// How long it is disconnected after the next response that it accepts, in ms.
+    pub next_disconnection_ms: Option<u64>,
     /// Until then its heartbeats arrive, but responses and direct calls are lost or late.
     pub inbound_lost_until: u64,
     /// Until then its heartbeats are lost, but direct calls reach it.
@@ -141,7 +145,7 @@
 
     /// Until when messages of nodes do not reach it in time.
     pub fn unreachable_until(&self) -> u64 {
-        self.partitioned_until.max(self.inbound_lost_until)
+        self.partitioned_until.max(self.inbound_lost_until).max(self.disconnected_until)
     }
 
     /// The sum of the CPUs of its live tasks.
--- a/crates/latchtrack-core/tests/simulation/world/workers.rs
+++ b/crates/latchtrack-core/tests/simulation/world/workers.rs
@@ -117,6 +117,7 @@
         worker.pending_heartbeat = Some(PendingHeartbeat { sent_at: now, id });
         worker.next_heartbeat = now + self.size.heartbeat_interval_ms;
         let (node, is_cut_off) = (worker.node, now < worker.partitioned_until);
+        let is_disconnected = now < worker.disconnected_until;
         let Some(heartbeat) = self.heartbeat_of(name) else { return };
         let delay = match self.partition_between(name, node) {
             // Delayed until the partition ends.
@@ -135,7 +136,8 @@
         if self.applies(self.faults.withheld_heartbeats) {
             self.withheld_heartbeats.push((worker.clone(), heartbeat.clone()));
         }
-        if !(is_cut_off && self.chance(0.5)) {
+        let is_lost = is_disconnected || (is_cut_off && self.chance(0.5));
+        if !is_lost {
             let sent = SentHeartbeat { node, worker, heartbeat, id, sent_at: now };
             self.post(delay, Message::Heartbeat(sent));
         }
