--- a/crates/latchtrack-core/src/scheduler/heartbeats.rs
+++ b/crates/latchtrack-core/src/scheduler/heartbeats.rs
@@ -67,6 +67,7 @@
     /// Updates the scheduler's view of a machine and its task runs from a heartbeat.
     pub(super) fn reconcile(&mut self, now: Millis, heartbeat: &Heartbeat) -> ReconcileOutcome {
         let Some(machine) = self.inventory.get_mut(&heartbeat.machine) else {
+            self.record_older_token(now, heartbeat);
             return ReconcileOutcome::Ignored;
         };
         let number = MessageNumber::of(heartbeat);
--- a/crates/latchtrack-core/src/scheduler/mod.rs
+++ b/crates/latchtrack-core/src/scheduler/mod.rs
@@ -96,6 +96,9 @@
     jobs: BTreeMap<JobId, Job>,
     inventory: MachineInventory,
     failure_detector: FailureDetector,
+    /// The last time at which a machine that is not in the readable part of the stored set was
+    /// answered on an older token, so that the lease that it held before this term may be renewed.
+    unlisted_older_token_at: Option<Millis>,
     dispatcher: CommandDispatcher,
     provisioning: Provisioning,
     boot_tracker: BootTracker,
@@ -140,6 +143,7 @@
             jobs: BTreeMap::new(),
             inventory: machines,
             failure_detector: FailureDetector::new(now),
+            unlisted_older_token_at: None,
             dispatcher: CommandDispatcher::new(policy.max_open_calls),
             provisioning: Provisioning::new(token),
             boot_tracker: BootTracker::default(),
--- a/crates/latchtrack-core/src/scheduler/worker_leases.rs
+++ b/crates/latchtrack-core/src/scheduler/worker_leases.rs
@@ -14,37 +14,49 @@
     /// passed since the start of the term was not answered in that time: its lease has expired, and
     /// a renewal concerns none of the tasks of earlier leaders.
     pub(super) fn record_older_token(&mut self, now: Millis, heartbeat: &Heartbeat) {
-        let term_ms = self.term_ms(now);
-        let Some(machine) = self.inventory.get_mut(&heartbeat.machine) else { return };
-        if !machine.is_unreconciled() || term_ms >= self.policy.worker_lease_expiry_ms() {
+        if self.has_inherited_lease_expired(now, None) {
             return;
         }
-        machine.older_token_heartbeat_at = Some(now);
-        self.effects.push(Effect::Log(LogEvent::OlderTokenAnswered {
-            machine: heartbeat.machine.clone(),
-            heartbeat_token: heartbeat.token,
-            term_ms,
-        }));
+        let term_ms = now.saturating_sub(self.term_started_at);
+        let machine = self.inventory.get_mut(&heartbeat.machine);
+        if let Some(machine) = machine.filter(|machine| machine.is_unreconciled()) {
+            machine.older_token_heartbeat_at = Some(now);
+            self.effects.push(Effect::Log(LogEvent::OlderTokenAnswered {
+                machine: heartbeat.machine.clone(),
+                heartbeat_token: heartbeat.token,
+                term_ms,
+            }));
+        } else if heartbeat.token > 0 {
+            // An unreadable value of the machine set may name the machine. A worker that has seen
+            // no token has executed no command, so new machines don't count.
+            self.unlisted_older_token_at = Some(now);
+        }
     }
 
     /// Releases what depends on worker leases that have expired.
     pub(super) fn expire_worker_leases(&mut self, now: Millis) {
         self.release_expired_runs(now);
-        if self.term_ms(now) >= self.policy.worker_lease_expiry_ms() {
-            self.drop_unreadable_machine_sets();
-            self.release_unreconciled(now);
+        if !self.has_inherited_lease_expired(now, None) {
+            return;
         }
-    }
-
-    fn drop_unreadable_machine_sets(&mut self) {
-        if self.persistence.drop_unreadable_machine_sets() {
+        if self.has_inherited_lease_expired(now, self.unlisted_older_token_at)
+            && self.persistence.drop_unreadable_machine_sets()
+        {
             self.cycle_timer.request();
         }
+        self.release_unreconciled(now);
+    }
+
+    /// Whether a lease that a worker held before this term has expired, given the last time at
+    /// which this leader may have renewed it.
+    fn has_inherited_lease_expired(&self, now: Millis, renewed_at: Option<Millis>) -> bool {
+        let lease_from = self.inherited_lease_from(renewed_at);
+        now >= lease_from.saturating_add(self.policy.worker_lease_expiry_ms())
     }
 
-    /// Returns the time since the start of this term, in ms.
-    fn term_ms(&self, now: Millis) -> Millis {
-        now.saturating_sub(self.term_started_at)
+    /// Returns the time from which a lease that a worker held before this term is counted.
+    fn inherited_lease_from(&self, renewed_at: Option<Millis>) -> Millis {
+        renewed_at.unwrap_or(self.term_started_at)
     }
 
     /// Releases the task runs of machines whose worker lease has expired. A worker whose heartbeats
@@ -81,17 +93,25 @@
     /// them since. So they have killed their tasks, and any command in flight belongs to an expired
     /// agent epoch.
     fn release_unreconciled(&mut self, now: Millis) {
-        let lease_expiry_ms = self.policy.worker_lease_expiry_ms();
-        for machine in self.inventory.iter_mut().filter(|machine| machine.is_unreconciled()) {
-            let lease_from = machine.older_token_heartbeat_at.unwrap_or(self.term_started_at);
-            if now < lease_from.saturating_add(lease_expiry_ms) {
-                continue;
-            }
+        let expired: Vec<(String, Millis)> = self
+            .inventory
+            .iter()
+            .filter(|machine| machine.is_unreconciled())
+            .filter(|machine| {
+                self.has_inherited_lease_expired(now, machine.older_token_heartbeat_at)
+            })
+            .map(|machine| {
+                let lease_from = self.inherited_lease_from(machine.older_token_heartbeat_at);
+                (machine.name.to_string(), lease_from)
+            })
+            .collect();
+        for (name, lease_from) in expired {
+            let Some(machine) = self.inventory.get_mut(&name) else { continue };
             machine.inherited = false;
             machine.to_terminate = true;
             self.cycle_timer.request();
             self.effects.push(Effect::Log(LogEvent::UnreconciledMachineExpired {
-                machine: machine.name.to_string(),
+                machine: name,
                 term_ms: now.saturating_sub(self.term_started_at),
                 lease_from_ms: lease_from.saturating_sub(self.term_started_at),
             }));
--- a/crates/latchtrack-core/tests/worker_leases.rs
+++ b/crates/latchtrack-core/tests/worker_leases.rs
@@ -26,6 +26,19 @@
     }
 }
 
+/// Returns the entry of a machine in the cloud's list.
+fn listed_machine(number: u64) -> ListedMachine {
+    ListedMachine {
+        name: machine_name(number),
+        machine_type: "g".into(),
+        zone: "a".into(),
+        spot: true,
+        failed: false,
+        running: true,
+        age_ms: 100_000,
+    }
+}
+
 /// A new leader with three inherited machines and job 1, whose two tasks an earlier leader launched
 /// on machines 0 and 1. Only machine 2 stays connected; it has room for both tasks. The cloud
 /// confirms no termination.
@@ -170,6 +183,45 @@
     assert!(first.is_some_and(|at| at >= answered_at + LEASE_EXPIRY_MS), "{first:?}");
 }
 
+/// Returns the stored set of machine 2, and a value that can't be read and may name any machine.
+fn unreadable_set() -> Vec<StoredMachineSet> {
+    let mut stored = stored_set(2..3);
+    stored.push(StoredMachineSet { name: "3-2".into(), revision: 5, machines: None });
+    stored
+}
+
+/// A machine that only an unreadable value of the machine set names is unknown to the leader, or
+/// known from the cloud's list alone. An answer to its older token renews its lease as well: its
+/// tasks started elsewhere while they ran there (`ran_twice`).
+#[test]
+fn an_answer_to_an_unknown_machine_extends_the_wait_for_an_unreadable_set() {
+    let answered_at = TERM_START_MS + 20_000;
+    for is_listed in [false, true] {
+        let mut failover = Failover::new(unreadable_set());
+        failover.run_until(answered_at);
+        if is_listed {
+            failover.handle(Event::MachinesListed(vec![listed_machine(0), listed_machine(2)]));
+        }
+        let older_token = heartbeat(0, 9, TERM.token - 1, vec![running_task(0)]);
+        assert!(failover.handle(Event::Heartbeat(older_token)).is_some(), "answered");
+        failover.run_until(answered_at + LEASE_EXPIRY_MS);
+        assert_eq!(failover.launched, [], "listed: {is_listed}");
+        failover.run_until(answered_at + LEASE_EXPIRY_MS + 2 * HEARTBEAT_INTERVAL_MS);
+        assert_eq!(failover.launched.len(), 2, "once the renewed lease has expired");
+    }
+}
+
+/// A worker that has seen no token has executed no command: new machines that come up after a
+/// failover hold nothing back.
+#[test]
+fn new_machines_do_not_extend_the_wait_for_an_unreadable_set() {
+    let mut failover = Failover::new(unreadable_set());
+    failover.run_until(TERM_START_MS + 20_000);
+    failover.handle(Event::Heartbeat(heartbeat(0, 1, 0, Vec::new())));
+    failover.run_until(TERM_START_MS + LEASE_EXPIRY_MS + 2 * HEARTBEAT_INTERVAL_MS);
+    assert_eq!(failover.launched.len(), 2);
+}
+
 /// The log tells which machines were answered before they knew this term's token, and from which
 /// time their leases are counted.
 #[test]
