Stop tasks of closed jobs in the answer to a heartbeat with an older token

Cause: the answer renewed the lease and carried no command, since an older token reconciles nothing. The proof of the bound counts the last answer that does not know of the cancellation; this one knew of it.

Change: each answer to a heartbeat that is not reconciled stops the listed tasks whose job is not open, as the reconciled answer would. A late copy's answer is read by nobody, and a closed job stays closed, so a stop can't be wrong. If the answer arrives, it renews and stops; if not, it does neither.

--- a/crates/latchtrack-core/src/scheduler/heartbeats.rs
+++ b/crates/latchtrack-core/src/scheduler/heartbeats.rs
@@ -10,7 +10,9 @@
 use super::Scheduler;
 use crate::constants::NEW_MACHINE_PROBE_DELAY_MS;
 use crate::job::TaskId;
-use crate::machine::{Heartbeat, Machine, MessageNumber, TaskPhase, TaskRun, TaskStatus};
+use crate::machine::{
+    Command, Heartbeat, Machine, MessageNumber, StopRequest, TaskPhase, TaskRun, TaskStatus,
+};
 use crate::Millis;
 
 /// The outcome of reconciling a heartbeat.
@@ -45,7 +47,21 @@
         // The heartbeat is stale, or its machine has not seen this term's token yet. The response
         // carries the token, upon which the machine sends another heartbeat immediately. The
         // response to a late duplicate is not read by anyone.
-        self.effects.push(Effect::Respond(Vec::new()));
+        let commands = self.stops_of_closed_jobs(heartbeat);
+        self.effects.push(Effect::Respond(commands));
+    }
+
+    /// Returns the commands that stop the tasks of closed jobs in a heartbeat. They belong into
+    /// every response, because a response renews the lease under which the tasks run.
+    fn stops_of_closed_jobs(&self, heartbeat: &Heartbeat) -> Vec<Command> {
+        let is_running = |status: &&TaskStatus| !matches!(status.phase, TaskPhase::Ended(_));
+        let is_closed = |status: &&TaskStatus| !self.jobs.contains_key(&status.task.job);
+        let stop = |status: &TaskStatus| Command::Stop {
+            task: status.task,
+            attempt: status.attempt,
+            grace_s: StopRequest::IMMEDIATE.grace_s,
+        };
+        heartbeat.tasks.iter().filter(is_running).filter(is_closed).map(stop).collect()
     }
 
     /// Registers an unknown machine, from a provision request that was executed late or whose
--- a/crates/latchtrack-core/tests/simulation/fault_interactions.rs
+++ b/crates/latchtrack-core/tests/simulation/fault_interactions.rs
@@ -290,6 +290,26 @@
     check_runs_with("flapping", CROWDED, 0..24, &plan, &min_occurrences);
 }
 
+/// The same, and users cancel jobs that run on the machines. The leases that the answers renew end
+/// later than the tasks have to.
+#[test]
+fn cancellation_while_machines_are_answered_once_between_two_disconnections() {
+    let plan: Vec<_> = [20_000, 90_000]
+        .into_iter()
+        .flat_map(|at| {
+            [
+                (at, FlapMachines(0.6, 10_000, 30_000)),
+                (at + 100, CancelRunning(40, 0)),
+                (at + 200, CrashNodes(1, 6_000)),
+                (at + 200, CloudOutage(45_000)),
+            ]
+        })
+        .collect();
+    let min_occurrences =
+        [("answered between two disconnections", 300), ("cancelled while running", 200)];
+    check_runs_with("flapping", CROWDED, 0..24, &plan, &min_occurrences);
+}
+
 /// All faults of this file at once, with random faults beside them.
 #[test]
 fn all_fault_interactions_at_once() {
--- a/crates/latchtrack-core/tests/worker_leases.rs
+++ b/crates/latchtrack-core/tests/worker_leases.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use latchtrack_core::job::TaskId;
+use latchtrack_core::job::{JobId, TaskId};
 use latchtrack_core::machine::*;
 use latchtrack_core::scheduler::*;
 
@@ -222,6 +222,26 @@
     assert_eq!(failover.launched.len(), 2);
 }
 
+/// An answer to a heartbeat with an older token renewed the lease under which tasks of a cancelled
+/// job ran, and did not stop them: if the machine was disconnected again, they outlived the time
+/// within which they had to end (`ran_cancelled`).
+#[test]
+fn an_answer_to_an_older_token_stops_tasks_of_closed_jobs() {
+    let ended = TaskStatus { phase: TaskPhase::Ended(ExitCause::Done), ..running_task(1) };
+    let stop = Command::Stop { task: running_task(0).task, attempt: EARLIER_ATTEMPT, grace_s: 0.0 };
+    // Machine 0 is in the stored set, machine 5 is unknown.
+    for number in [0, 5] {
+        let older_token = |sequence| {
+            let tasks = vec![running_task(0), ended];
+            Event::Heartbeat(heartbeat(number, sequence, TERM.token - 1, tasks))
+        };
+        let mut failover = Failover::new(stored_set(0..3));
+        assert_eq!(failover.handle(older_token(1)), Some(Vec::new()), "the job is open");
+        failover.handle(Event::JobClosed(JobId(1)));
+        assert_eq!(failover.handle(older_token(2)), Some(vec![stop]), "machine {number}");
+    }
+}
+
 /// The log tells which machines were answered before they knew this term's token, and from which
 /// time their leases are counted.
 #[test]
