End tasks of closed jobs in the answer to a heartbeat that a direct call has overtaken

Such a heartbeat was answered with no command for the runs that the leader knows. The answer renews the lease, while a launch of a cancelled job may still be on its way to the worker.

Each answer to a heartbeat that is not reconciled now has what ends the tasks of closed jobs: stops of the runs known on its machine, after the launch where the machine has not reported the run yet (the late launch then does nothing), and stops of the others that it lists. No bookkeeping depends on it, as the heartbeat may be a late copy whose answer nobody reads.

It can't make a task run twice: it was sent before the newest message of the machine arrived, from which the lease is counted. Refusing it with 503 would be simpler but costs the worker its turn over slow links.

Test: worker_leases::an_answer_to_an_overtaken_heartbeat_stops_tasks_of_closed_jobs fails before (the stop of the listed task alone, without launch and stop of the one on its way).

--- a/crates/latchtrack-core/src/scheduler/heartbeats.rs
+++ b/crates/latchtrack-core/src/scheduler/heartbeats.rs
@@ -9,7 +9,7 @@
 use super::task_runs::adopt_run;
 use super::Scheduler;
 use crate::constants::NEW_MACHINE_PROBE_DELAY_MS;
-use crate::job::TaskId;
+use crate::job::{JobId, TaskId};
 use crate::machine::{
     Command, Heartbeat, Machine, MessageNumber, StopRequest, TaskPhase, TaskRun, TaskStatus,
 };
@@ -51,17 +51,35 @@
         self.effects.push(Effect::Respond(commands));
     }
 
-    /// Returns the commands that stop the tasks of closed jobs in a heartbeat. They belong into
-    /// every response, because a response renews the lease under which the tasks run.
+    /// Returns the commands that end the tasks of closed jobs on the machine of a heartbeat. They
+    /// belong into every response, because a response renews the lease under which the tasks run.
     fn stops_of_closed_jobs(&self, heartbeat: &Heartbeat) -> Vec<Command> {
-        let is_running = |status: &&TaskStatus| !matches!(status.phase, TaskPhase::Ended(_));
-        let is_closed = |status: &&TaskStatus| !self.jobs.contains_key(&status.task.job);
-        let stop = |status: &TaskStatus| Command::Stop {
-            task: status.task,
-            attempt: status.attempt,
+        let is_closed = |job: &JobId| !self.jobs.contains_key(job);
+        let stop = |task, attempt| Command::Stop {
+            task,
+            attempt,
             grace_s: StopRequest::IMMEDIATE.grace_s,
         };
-        heartbeat.tasks.iter().filter(is_running).filter(is_closed).map(stop).collect()
+        let runs = self.inventory.get(&heartbeat.machine).map(|machine| &machine.runs);
+        let mut commands = Vec::new();
+        for run in runs.into_iter().flat_map(|runs| runs.values()).filter(|run| run.is_live()) {
+            if !is_closed(&run.task.job) {
+                continue;
+            }
+            if run.phase == TaskPhase::Assigned {
+                // The launch may still arrive by a direct call; see `heartbeat_response`.
+                commands.push(Command::Launch { task: run.task, attempt: run.attempt });
+            }
+            commands.push(stop(run.task, run.attempt));
+        }
+        for status in heartbeat.tasks.iter().filter(|status| is_closed(&status.task.job)) {
+            let is_known =
+                runs.is_some_and(|runs| runs.contains_key(&(status.task, status.attempt)));
+            if !is_known && !matches!(status.phase, TaskPhase::Ended(_)) {
+                commands.push(stop(status.task, status.attempt));
+            }
+        }
+        commands
     }
 
     /// Registers an unknown machine, from a provision request that was executed late or whose
--- a/crates/latchtrack-core/tests/worker_leases.rs
+++ b/crates/latchtrack-core/tests/worker_leases.rs
@@ -242,6 +242,29 @@
     }
 }
 
+/// The answer to a direct call may overtake a heartbeat that was sent before it. The answer to such
+/// a heartbeat renews the lease as well, and left out what ends the tasks of closed jobs, also of
+/// one whose launch may still be on its way (`ran_cancelled`).
+#[test]
+fn an_answer_to_an_overtaken_heartbeat_stops_tasks_of_closed_jobs() {
+    let mut failover = Failover::new(stored_set(0..1));
+    // Task 0 runs on the only machine, and task 1 is launched there too.
+    let running = heartbeat(0, 5, TERM.token, vec![running_task(0)]);
+    let launched = failover.handle(Event::Heartbeat(running)).unwrap_or_default();
+    let Some(Command::Launch { task, attempt }) = launched.first().copied() else {
+        panic!("no launch: {launched:?}")
+    };
+    failover.handle(Event::JobClosed(JobId(1)));
+    let overtaken = heartbeat(0, 4, TERM.token, vec![running_task(0)]);
+    let answer = failover.handle(Event::Heartbeat(overtaken));
+    let expected = vec![
+        Command::Stop { task: running_task(0).task, attempt: EARLIER_ATTEMPT, grace_s: 0.0 },
+        Command::Launch { task, attempt },
+        Command::Stop { task, attempt, grace_s: 0.0 },
+    ];
+    assert_eq!(answer, Some(expected));
+}
+
 /// The log tells which machines were answered before they knew this term's token, and from which
 /// time their leases are counted.
 #[test]
