Answer no heartbeat of an agent epoch that the leader counts as ended

- Its heartbeat was answered with 200.
Such an answer renews the lease of tasks that may have started elsewhere, if the leader ever counted an epoch as ended too early; the worker then never moves on and is never heard again.
A worker that has moved on drops the answer anyway.

--- a/crates/latchtrack-core/src/scheduler/heartbeats.rs
+++ b/crates/latchtrack-core/src/scheduler/heartbeats.rs
@@ -25,12 +25,16 @@
 }
 
 impl Scheduler {
-    /// Handles a heartbeat and responds to it.
+    /// Handles a heartbeat and responds to it, unless the response must not renew the worker's
+    /// lease.
     pub(super) fn on_heartbeat(&mut self, now: Millis, heartbeat: &Heartbeat) {
         if heartbeat.token > self.token {
             self.effects.push(Effect::Resign(ResignReason::HigherToken));
             return;
         }
+        if self.is_of_ended_epoch(heartbeat) {
+            return;
+        }
         if !self.inventory.was_terminated(&heartbeat.machine) {
             self.register(now, heartbeat);
             if self.reconcile(now, heartbeat) == ReconcileOutcome::Reconciled {
@@ -51,6 +55,13 @@
         self.effects.push(Effect::Respond(commands));
     }
 
+    /// Whether a heartbeat belongs to an agent epoch that has ended. Its tasks may have started
+    /// elsewhere, so that the lease under which they ran must not be renewed.
+    fn is_of_ended_epoch(&self, heartbeat: &Heartbeat) -> bool {
+        let machine = self.inventory.get(&heartbeat.machine);
+        machine.is_some_and(|m| heartbeat.agent_epoch < m.latest_message.agent_epoch)
+    }
+
     /// Returns the commands that end the tasks of closed jobs on the machine of a heartbeat. They
     /// belong into every response, because a response renews the lease under which the tasks run.
     fn stops_of_closed_jobs(&self, heartbeat: &Heartbeat) -> Vec<Command> {
