Simulation: show that the referee catches uncounted leases and unstopped tasks

Both tests of flapping machines share one plan, and two more hide the heartbeats with an older token from the leader: then it neither counts the leases that the answers renew (ran_twice is reported) nor stops cancelled tasks (ran_cancelled).

--- a/crates/latchtrack-core/tests/simulation/fault_interactions.rs
+++ b/crates/latchtrack-core/tests/simulation/fault_interactions.rs
@@ -272,44 +272,54 @@
     assert!(terms >= 8 * 8, "{terms} terms");
 }
 
-/// The network of the machines flaps as a leader ends: the next leader answers them on its
-/// predecessor's token, and then they cannot be reached. The cloud terminates none of them.
-#[test]
-fn machines_are_answered_once_between_two_disconnections_at_a_failover() {
-    let plan: Vec<_> = [(20_000, 7_000), (90_000, 10_000)]
+/// Twice: machines are disconnected for `first_ms`, answered once and disconnected again, while a
+/// leader ends and the cloud terminates none of them. Users cancel this many running jobs at the
+/// start.
+fn flapping_machines(first_ms: [u64; 2], cancelled: usize) -> Vec<(u64, PlannedFault)> {
+    [20_000, 90_000]
         .into_iter()
+        .zip(first_ms)
         .flat_map(|(at, first_ms)| {
             [
                 (at, FlapMachines(0.6, first_ms, 30_000)),
-                (at + 100, CrashNodes(1, 6_000)),
-                (at + 100, CloudOutage(45_000)),
+                (at + 100, CancelRunning(cancelled, 0)),
+                (at + 200, CrashNodes(1, 6_000)),
+                (at + 200, CloudOutage(45_000)),
             ]
         })
-        .collect();
+        .collect()
+}
+
+/// The next leader answers the machines on its predecessor's token, and then they cannot be
+/// reached.
+#[test]
+fn machines_are_answered_once_between_two_disconnections_at_a_failover() {
+    let plan = flapping_machines([7_000, 10_000], 0);
     let min_occurrences = [("answered between two disconnections", 300)];
     check_runs_with("flapping", CROWDED, 0..24, &plan, &min_occurrences);
 }
 
-/// The same, and users cancel jobs that run on the machines. The leases that the answers renew end
-/// later than the tasks have to.
+/// The same, and the leases that the answers renew end later than the cancelled tasks have to.
 #[test]
 fn cancellation_while_machines_are_answered_once_between_two_disconnections() {
-    let plan: Vec<_> = [20_000, 90_000]
-        .into_iter()
-        .flat_map(|at| {
-            [
-                (at, FlapMachines(0.6, 10_000, 30_000)),
-                (at + 100, CancelRunning(40, 0)),
-                (at + 200, CrashNodes(1, 6_000)),
-                (at + 200, CloudOutage(45_000)),
-            ]
-        })
-        .collect();
+    let plan = flapping_machines([10_000, 10_000], 40);
     let min_occurrences =
         [("answered between two disconnections", 300), ("cancelled while running", 200)];
     check_runs_with("flapping", CROWDED, 0..24, &plan, &min_occurrences);
 }
 
+#[test]
+fn not_counting_the_leases_that_answers_renew_is_caught() {
+    let plan = flapping_machines([7_000, 10_000], 0);
+    assert_violation(DisabledGuard::RenewedLeases, "ran_twice", CROWDED, &plan);
+}
+
+#[test]
+fn not_stopping_cancelled_tasks_in_answers_to_older_tokens_is_caught() {
+    let plan = flapping_machines([10_000, 10_000], 40);
+    assert_violation(DisabledGuard::RenewedLeases, "ran_cancelled", CROWDED, &plan);
+}
+
 /// All faults of this file at once, with random faults beside them.
 #[test]
 fn all_fault_interactions_at_once() {
--- a/crates/latchtrack-core/tests/simulation/world/guards.rs
+++ b/crates/latchtrack-core/tests/simulation/world/guards.rs
@@ -28,6 +28,9 @@
     LeaderlessSince,
     /// Tasks of silent machines are placed again before the worker lease has expired.
     WorkerLease,
+    /// Heartbeats with an older token are answered without the leader's knowledge, so that it does
+    /// not count the leases that the answers renew.
+    RenewedLeases,
     /// Heartbeats omit the tasks of cancelled jobs, which then do not use its limit.
     CancelledTaskUsage,
     /// A finished job is stored as done even if it was cancelled in the meantime.
--- a/crates/latchtrack-core/tests/simulation/world/messages.rs
+++ b/crates/latchtrack-core/tests/simulation/world/messages.rs
@@ -211,8 +211,14 @@
             return;
         }
         let (token, agent_epoch) = (self.nodes[node].token, heartbeat.agent_epoch);
-        let Some(mut commands) = self.process_event(node, Event::Heartbeat(heartbeat.clone()))
-        else {
+        let is_hidden =
+            self.disabled_guard == DisabledGuard::RenewedLeases && heartbeat.token < token;
+        let commands = if is_hidden {
+            Some(Vec::new())
+        } else {
+            self.process_event(node, Event::Heartbeat(heartbeat.clone()))
+        };
+        let Some(mut commands) = commands else {
             self.post(FAST_RESPONSE_MS, Message::Redirect { worker, id });
             return;
         };
