Dispatcher: the response to an unreconciled heartbeat stands beside the other response

heartbeats.rs had grown to 266 lines; what a response carries belongs to the dispatcher. Behaviour is unchanged. Tests worker_leases, failover, failure_detection and zones pass; clippy and fmt are clean.

--- a/crates/latchtrack-core/src/scheduler/dispatcher.rs
+++ b/crates/latchtrack-core/src/scheduler/dispatcher.rs
@@ -7,7 +7,7 @@
 use super::Scheduler;
 use crate::constants::{MAX_OPEN_PROBES, MIN_FORGET_BATCH, STOP_RETRY_MS};
 use crate::job::{Job, JobId};
-use crate::machine::{Command, ExitCause, Machine, TaskPhase, TaskRun};
+use crate::machine::{Command, ExitCause, Heartbeat, Machine, StopRequest, TaskPhase, TaskRun};
 use crate::Millis;
 
 /// The purpose of a direct call.
@@ -147,6 +147,39 @@
         commands
     }
 
+    /// Returns the commands for the response to a heartbeat that was not reconciled: those that end
+    /// the tasks of closed jobs. They belong into every response, because it renews the lease under
+    /// which the tasks run. Nothing is recorded as sent, because the heartbeat may be a late
+    /// duplicate whose response nobody reads.
+    pub(super) fn unreconciled_response(&self, heartbeat: &Heartbeat) -> Vec<Command> {
+        let is_closed = |job: &JobId| !self.jobs.contains_key(job);
+        let stop = |task, attempt| Command::Stop {
+            task,
+            attempt,
+            grace_s: StopRequest::IMMEDIATE.grace_s,
+        };
+        let runs = self.inventory.get(&heartbeat.machine).map(|machine| &machine.runs);
+        let mut commands = Vec::new();
+        for run in runs.into_iter().flat_map(|runs| runs.values()).filter(|run| run.is_live()) {
+            if !is_closed(&run.task.job) {
+                continue;
+            }
+            if run.phase == TaskPhase::Assigned {
+                // It may still arrive by a direct call, and then does nothing.
+                commands.push(Command::Launch { task: run.task, attempt: run.attempt });
+            }
+            commands.push(stop(run.task, run.attempt));
+        }
+        for status in heartbeat.tasks.iter().filter(|status| is_closed(&status.task.job)) {
+            let is_known =
+                runs.is_some_and(|runs| runs.contains_key(&(status.task, status.attempt)));
+            if !is_known && !matches!(status.phase, TaskPhase::Ended(_)) {
+                commands.push(stop(status.task, status.attempt));
+            }
+        }
+        commands
+    }
+
     /// Sends urgent commands to the woken machines by direct calls, except to `except`, which has
     /// just received a heartbeat response.
     pub(super) fn dispatch(&mut self, now: Millis, except: Option<&str>) {
--- a/crates/latchtrack-core/src/scheduler/heartbeats.rs
+++ b/crates/latchtrack-core/src/scheduler/heartbeats.rs
@@ -9,10 +9,8 @@
 use super::task_runs::adopt_run;
 use super::Scheduler;
 use crate::constants::NEW_MACHINE_PROBE_DELAY_MS;
-use crate::job::{JobId, TaskId};
-use crate::machine::{
-    Command, Heartbeat, Machine, MessageNumber, StopRequest, TaskPhase, TaskRun, TaskStatus,
-};
+use crate::job::TaskId;
+use crate::machine::{Heartbeat, Machine, MessageNumber, TaskPhase, TaskRun, TaskStatus};
 use crate::Millis;
 
 /// The outcome of reconciling a heartbeat.
@@ -51,7 +49,7 @@
         // The heartbeat is stale, or its machine has not seen this term's token yet. The response
         // carries the token, upon which the machine sends another heartbeat immediately. The
         // response to a late duplicate is not read by anyone.
-        let commands = self.stops_of_closed_jobs(heartbeat);
+        let commands = self.unreconciled_response(heartbeat);
         self.effects.push(Effect::Respond(commands));
     }
 
@@ -62,37 +60,6 @@
         machine.is_some_and(|m| heartbeat.agent_epoch < m.latest_message.agent_epoch)
     }
 
-    /// Returns the commands that end the tasks of closed jobs on the machine of a heartbeat. They
-    /// belong into every response, because a response renews the lease under which the tasks run.
-    fn stops_of_closed_jobs(&self, heartbeat: &Heartbeat) -> Vec<Command> {
-        let is_closed = |job: &JobId| !self.jobs.contains_key(job);
-        let stop = |task, attempt| Command::Stop {
-            task,
-            attempt,
-            grace_s: StopRequest::IMMEDIATE.grace_s,
-        };
-        let runs = self.inventory.get(&heartbeat.machine).map(|machine| &machine.runs);
-        let mut commands = Vec::new();
-        for run in runs.into_iter().flat_map(|runs| runs.values()).filter(|run| run.is_live()) {
-            if !is_closed(&run.task.job) {
-                continue;
-            }
-            if run.phase == TaskPhase::Assigned {
-                // The launch may still arrive by a direct call; see `heartbeat_response`.
-                commands.push(Command::Launch { task: run.task, attempt: run.attempt });
-            }
-            commands.push(stop(run.task, run.attempt));
-        }
-        for status in heartbeat.tasks.iter().filter(|status| is_closed(&status.task.job)) {
-            let is_known =
-                runs.is_some_and(|runs| runs.contains_key(&(status.task, status.attempt)));
-            if !is_known && !matches!(status.phase, TaskPhase::Ended(_)) {
-                commands.push(stop(status.task, status.attempt));
-            }
-        }
-        commands
-    }
-
     /// Registers an unknown machine, from a provision request that was executed late or whose
     /// answer was lost. It is not in the stored set, so no leader has launched anything on it. Its
     /// heartbeat must carry this term's token: an older one may be a late duplicate from a machine
