Withdraw "Answer no heartbeat of an agent epoch that the leader counts as ended"

By reading: a machine that hears no answers sends an older token from its next, fresh epoch before the release; that epoch was then marked as ended, and the machine, alive and without tasks, was refused for up to a lease. No rule needs either half, as the count of the leases is right without them.

--- a/crates/latchtrack-core/src/scheduler/heartbeats.rs
+++ b/crates/latchtrack-core/src/scheduler/heartbeats.rs
@@ -23,16 +23,12 @@
 }
 
 impl Scheduler {
-    /// Handles a heartbeat and responds to it, unless the response must not renew the worker's
-    /// lease.
+    /// Handles a heartbeat and responds to it.
     pub(super) fn on_heartbeat(&mut self, now: Millis, heartbeat: &Heartbeat) {
         if heartbeat.token > self.token {
             self.effects.push(Effect::Resign(ResignReason::HigherToken));
             return;
         }
-        if self.is_of_ended_epoch(heartbeat) {
-            return;
-        }
         if !self.inventory.was_terminated(&heartbeat.machine) {
             self.register(now, heartbeat);
             if self.reconcile(now, heartbeat) == ReconcileOutcome::Reconciled {
@@ -53,13 +49,6 @@
         self.effects.push(Effect::Respond(commands));
     }
 
-    /// Whether a heartbeat belongs to an agent epoch that has ended. Its tasks may have started
-    /// elsewhere, so that the lease under which they ran must not be renewed.
-    fn is_of_ended_epoch(&self, heartbeat: &Heartbeat) -> bool {
-        let machine = self.inventory.get(&heartbeat.machine);
-        machine.is_some_and(|m| heartbeat.agent_epoch < m.latest_message.agent_epoch)
-    }
-
     /// Registers an unknown machine, from a provision request that was executed late or whose
     /// answer was lost. It is not in the stored set, so no leader has launched anything on it. Its
     /// heartbeat must carry this term's token: an older one may be a late duplicate from a machine
--- a/crates/latchtrack-core/src/scheduler/worker_leases.rs
+++ b/crates/latchtrack-core/src/scheduler/worker_leases.rs
@@ -5,7 +5,7 @@
 use super::log_events::LogEvent;
 use super::messages::Effect;
 use super::Scheduler;
-use crate::machine::{Heartbeat, Machine};
+use crate::machine::Heartbeat;
 use crate::Millis;
 
 impl Scheduler {
@@ -74,7 +74,8 @@
             .collect();
         for name in expired {
             let Some(machine) = self.inventory.get_mut(&name) else { continue };
-            end_agent_epoch(machine);
+            // From now on, messages of the expired epoch are stale.
+            machine.latest_message = machine.latest_message.next_epoch();
             machine.idle_since = None;
             let runs = std::mem::take(&mut machine.runs);
             let event =
@@ -106,7 +107,6 @@
             .collect();
         for (name, lease_from) in expired {
             let Some(machine) = self.inventory.get_mut(&name) else { continue };
-            end_agent_epoch(machine);
             machine.inherited = false;
             machine.to_terminate = true;
             self.cycle_timer.request();
@@ -118,8 +118,3 @@
         }
     }
 }
-
-/// Marks the agent epoch of a machine as ended, so that its messages are stale from now on.
-fn end_agent_epoch(machine: &mut Machine) {
-    machine.latest_message = machine.latest_message.next_epoch();
-}
