Log why tasks are launched, stopped, forgotten and released, and count rejected calls

The log of the leader could not tell a copy of a launch from a launch that the leader repeated: it had no line for any command. At debug each command now has a line with machine, task, attempt, token, agent epoch, route and reason; released tasks, adopted runs and the outcomes of direct calls have lines too, and the summary has counts. One line is written at info: an attempt of this term that a machine reports after it was forgotten, which is what the incident would have shown.

The scheduler builds these lines only if debug is enabled, so a run without it pays for the counters alone. A stop request now carries its reason.

--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -8,7 +8,7 @@
 use crate::scheduler::CallId;
 use crate::Millis;
 
-pub use crate::task_run::{ExitCause, StopRequest, TaskPhase, TaskRun};
+pub use crate::task_run::{ExitCause, StopReason, StopRequest, TaskPhase, TaskRun};
 pub use crate::worker_messages::{Command, Heartbeat, MessageNumber, TaskStatus};
 
 /// A machine type offered by the cloud.
--- a/crates/latchtrack-core/src/scheduler/direct_calls.rs
+++ b/crates/latchtrack-core/src/scheduler/direct_calls.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::decision_log::CommandRoute;
 use super::dispatcher::CallKind;
 use super::log_events::ResignReason;
 use super::messages::{CallId, CallOutcome, Effect};
@@ -78,13 +79,10 @@
         let kind = if commands.is_empty() { CallKind::Probe } else { CallKind::Commands };
         let call = self.dispatcher.open_call(kind);
         machine.open_call = Some(call);
-        self.effects.push(Effect::CallWorker {
-            machine: machine.name.to_string(),
-            addr,
-            agent_epoch: machine.latest_message.agent_epoch.max(1),
-            call,
-            commands,
-        });
+        let agent_epoch = machine.latest_message.agent_epoch.max(1);
+        let machine = machine.name.to_string();
+        self.record_commands(&machine, CommandRoute::DirectCall, self.token, &commands);
+        self.effects.push(Effect::CallWorker { machine, addr, agent_epoch, call, commands });
     }
 
     /// Handles the outcome of a direct call.
@@ -111,6 +109,7 @@
             }
             CallOutcome::Rejected(heartbeat) => {
                 self.failure_detector.worker_reached_directly();
+                self.decision_counts.rejected_calls += 1;
                 if heartbeat.token > self.token {
                     self.effects.push(Effect::Resign(ResignReason::HigherToken));
                     return;
--- a/crates/latchtrack-core/src/scheduler/dispatcher.rs
+++ b/crates/latchtrack-core/src/scheduler/dispatcher.rs
@@ -7,7 +7,7 @@
 use super::Scheduler;
 use crate::constants::{MAX_OPEN_PROBES, MIN_FORGET_BATCH, STOP_RETRY_MS};
 use crate::job::{Job, JobId};
-use crate::machine::{Command, ExitCause, Heartbeat, Machine, StopRequest, TaskPhase, TaskRun};
+use crate::machine::{Command, ExitCause, Heartbeat, Machine, TaskPhase, TaskRun};
 use crate::Millis;
 
 /// The purpose of a direct call.
@@ -153,11 +153,7 @@
     /// duplicate whose response nobody reads.
     pub(super) fn unreconciled_response(&self, heartbeat: &Heartbeat) -> Vec<Command> {
         let is_closed = |job: &JobId| !self.jobs.contains_key(job);
-        let stop = |task, attempt| Command::Stop {
-            task,
-            attempt,
-            grace_s: StopRequest::IMMEDIATE.grace_s,
-        };
+        let stop = |task, attempt| Command::Stop { task, attempt, grace_s: 0.0 };
         let runs = self.inventory.get(&heartbeat.machine).map(|machine| &machine.runs);
         let mut commands = Vec::new();
         for run in runs.into_iter().flat_map(|runs| runs.values()).filter(|run| run.is_live()) {
--- a/crates/latchtrack-core/src/scheduler/gangs.rs
+++ b/crates/latchtrack-core/src/scheduler/gangs.rs
@@ -11,7 +11,7 @@
 use super::Scheduler;
 use crate::constants::{FETCH_GRACE_MS, STOP_GRACE_S};
 use crate::job::{Job, JobId, TaskId};
-use crate::machine::{ExitCause, StopRequest, TaskPhase, TaskRun};
+use crate::machine::{ExitCause, StopReason, StopRequest, TaskPhase, TaskRun};
 use crate::Millis;
 
 /// State of a gang's current attempt.
@@ -131,7 +131,7 @@
                     job.requeue(index);
                 }
                 EndAction::Stop => {
-                    run.stop = Some(StopRequest::IMMEDIATE);
+                    run.stop = Some(StopRequest::immediate(StopReason::GangAttemptEnded));
                     self.dispatcher.wake(&machine.name);
                 }
                 EndAction::Nothing => {}
@@ -169,7 +169,7 @@
 
     /// Tells all tasks of a running gang to save their progress and stop. Does nothing unless all
     /// of their machines are responsive.
-    pub(super) fn stop_gang(&mut self, now: Millis, id: JobId) {
+    pub(super) fn stop_gang(&mut self, now: Millis, id: JobId, reason: StopReason) {
         let Some(job) = self.jobs.get(&id) else { return };
         let probe_after_ms = self.policy.probe_after_ms();
         let is_responsive = |machine: &str| {
@@ -187,7 +187,7 @@
             let Some(machine) = self.inventory.get_mut(&machine) else { continue };
             let key = (TaskId { job: id, index }, attempt);
             if let Some(run) = machine.runs.get_mut(&key) {
-                run.stop = Some(StopRequest { grace_s, sent_at: None });
+                run.stop = Some(StopRequest::with_grace(reason, grace_s));
                 self.dispatcher.wake(&machine.name);
             }
         }
--- a/crates/latchtrack-core/src/scheduler/heartbeats.rs
+++ b/crates/latchtrack-core/src/scheduler/heartbeats.rs
@@ -1,16 +1,16 @@
 //! Heartbeats: the first registers a machine, and each reconciles its task runs.
 
-use std::collections::btree_map::Entry;
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use super::decision_log::{CommandRoute, Decision, ReleaseReason};
 use super::log_events::{AdoptionSource, LogEvent, ResignReason};
 use super::messages::Effect;
 use super::task_runs::adopt_run;
 use super::Scheduler;
 use crate::constants::NEW_MACHINE_PROBE_DELAY_MS;
-use crate::job::TaskId;
-use crate::machine::{Heartbeat, Machine, MessageNumber, TaskPhase, TaskRun, TaskStatus};
+use crate::job::{JobSpec, TaskId};
+use crate::machine::{Command, Heartbeat, Machine, MessageNumber, TaskPhase, TaskRun, TaskStatus};
 use crate::Millis;
 
 /// The outcome of reconciling a heartbeat.
@@ -37,7 +37,7 @@
                 }
                 self.backfill(now, &heartbeat.machine);
                 let commands = self.heartbeat_response(now, &heartbeat.machine);
-                self.effects.push(Effect::Respond(commands));
+                self.respond(&heartbeat.machine, commands);
                 self.dispatch(now, Some(&heartbeat.machine));
                 return;
             }
@@ -46,6 +46,12 @@
         // carries the token, upon which the machine sends another heartbeat immediately. The
         // response to a late duplicate is not read by anyone.
         let commands = self.unreconciled_response(heartbeat);
+        self.respond(&heartbeat.machine, commands);
+    }
+
+    /// Responds to the heartbeat being handled.
+    fn respond(&mut self, machine: &str, commands: Vec<Command>) {
+        self.record_commands(machine, CommandRoute::HeartbeatResponse, self.token, &commands);
         self.effects.push(Effect::Respond(commands));
     }
 
@@ -88,7 +94,7 @@
         }
         self.release_unlisted_runs(now, heartbeat);
         for status in &heartbeat.tasks {
-            self.reconcile_task(now, &heartbeat.machine, status);
+            self.reconcile_task(now, heartbeat, status);
         }
         self.update_idle_since(now, &heartbeat.machine);
         ReconcileOutcome::Reconciled
@@ -129,7 +135,7 @@
             task_runs: runs.len(),
         }));
         for run in runs.values() {
-            self.release_run(now, name, run);
+            self.release_run(now, name, run, ReleaseReason::AgentEpochAdvanced);
         }
         self.cycle_timer.request();
     }
@@ -148,25 +154,17 @@
         for key in unlisted {
             let Some(machine) = self.inventory.get_mut(&heartbeat.machine) else { return };
             if let Some(run) = machine.runs.remove(&key).filter(TaskRun::is_live) {
-                self.release_run(now, &heartbeat.machine, &run);
+                self.release_run(now, &heartbeat.machine, &run, ReleaseReason::Unlisted);
             }
         }
     }
 
     /// Updates one task run from its status in a heartbeat, adopting the run if it is unknown.
-    fn reconcile_task(&mut self, now: Millis, name: &str, status: &TaskStatus) {
-        let machine_type =
-            self.inventory.get(name).map(|m| m.machine_type.clone()).unwrap_or_default();
-        let cache_gb = self.inventory.type_named(&machine_type).map_or(0.0, |t| t.cache_gb);
+    fn reconcile_task(&mut self, now: Millis, heartbeat: &Heartbeat, status: &TaskStatus) {
+        self.adopt_if_unknown(heartbeat, status);
+        let name = heartbeat.machine.as_str();
         let Some(machine) = self.inventory.get_mut(name) else { return };
-        let run = match machine.runs.entry((status.task, status.attempt)) {
-            Entry::Occupied(run) => run.into_mut(),
-            Entry::Vacant(vacant) => {
-                let job = self.jobs.get_mut(&status.task.job);
-                let job = job.filter(|job| status.task.index < job.spec.tasks);
-                vacant.insert(adopt_run(name, status, job))
-            }
-        };
+        let Some(run) = machine.runs.get_mut(&(status.task, status.attempt)) else { return };
         if !run.is_live() || run.phase == status.phase {
             return;
         }
@@ -174,15 +172,8 @@
         match status.phase {
             TaskPhase::Running => {
                 run.running_since.get_or_insert(now);
-                if let Some(spec) =
-                    run.spec.as_ref().filter(|s| !machine.images.is_last_used(&s.image))
-                {
-                    Arc::make_mut(&mut machine.images).record_use(
-                        &spec.image,
-                        spec.image_gb,
-                        cache_gb,
-                    );
-                }
+                let spec = run.spec.clone();
+                self.record_image_use(name, spec);
             }
             TaskPhase::Unrecognised => {
                 self.effects.push(Effect::Log(LogEvent::UnrecognisedPhase {
@@ -201,6 +192,43 @@
         }
     }
 
+    /// Adds a run that a machine lists and the scheduler does not know. Its launch was sent by an
+    /// earlier leader, or by this one before it forgot the attempt.
+    fn adopt_if_unknown(&mut self, heartbeat: &Heartbeat, status: &TaskStatus) {
+        let TaskStatus { task, attempt, .. } = *status;
+        let Some(machine) = self.inventory.get_mut(&heartbeat.machine) else { return };
+        if machine.runs.contains_key(&(task, attempt)) {
+            return;
+        }
+        let job = self.jobs.get_mut(&task.job).filter(|job| task.index < job.spec.tasks);
+        let run = adopt_run(&heartbeat.machine, status, job);
+        let holds_task = run.stop.is_none();
+        machine.runs.insert((task, attempt), run);
+        let machine = heartbeat.machine.clone();
+        if self.attempt_numbers.is_of_this_term(attempt) {
+            self.decision_counts.forgotten_attempts_reported += 1;
+            self.effects.push(Effect::Log(LogEvent::ForgottenAttemptReported {
+                machine: machine.clone(),
+                task,
+                attempt,
+                heartbeat_token: heartbeat.token,
+            }));
+        }
+        self.log_decision(|| Decision::RunAdopted { machine, task, attempt, holds_task });
+    }
+
+    /// Records that a machine holds the image of a task that runs on it.
+    fn record_image_use(&mut self, name: &str, spec: Option<Arc<JobSpec>>) {
+        let (Some(spec), Some(machine)) = (spec, self.inventory.get(name)) else { return };
+        if machine.images.is_last_used(&spec.image) {
+            return;
+        }
+        let machine_type = self.inventory.type_named(&machine.machine_type);
+        let cache_gb = machine_type.map_or(0.0, |machine_type| machine_type.cache_gb);
+        let Some(machine) = self.inventory.get_mut(name) else { return };
+        Arc::make_mut(&mut machine.images).record_use(&spec.image, spec.image_gb, cache_gb);
+    }
+
     fn update_idle_since(&mut self, now: Millis, machine: &str) {
         let Some(machine) = self.inventory.get_mut(machine) else { return };
         if machine.runs.values().any(TaskRun::is_live) {
--- a/crates/latchtrack-core/src/scheduler/load_balancing/move_execution.rs
+++ b/crates/latchtrack-core/src/scheduler/load_balancing/move_execution.rs
@@ -10,7 +10,7 @@
 use super::planner_input::is_movable;
 use crate::constants::STOP_GRACE_S;
 use crate::job::{Job, JobId, TaskId};
-use crate::machine::{StopRequest, TaskPhase};
+use crate::machine::{StopReason, StopRequest, TaskPhase};
 use crate::rules;
 use crate::Millis;
 
@@ -55,7 +55,7 @@
     }
 
     fn stop_gang_for_move(&mut self, now: Millis, id: JobId) -> StopResult {
-        self.stop_gang(now, id);
+        self.stop_gang(now, id, StopReason::Moved);
         let is_stopping = |job: &Job| self.attempt_state(job) == AttemptState::Stopping;
         StopResult::requested_if(self.jobs.get(&id).is_some_and(is_stopping))
     }
@@ -77,7 +77,7 @@
             return StopResult::NotPossible;
         };
         let save_s = run.spec.as_ref().map_or(0.0, |spec| spec.save_s);
-        run.stop = Some(StopRequest { grace_s: save_s + STOP_GRACE_S, sent_at: None });
+        run.stop = Some(StopRequest::with_grace(StopReason::Moved, save_s + STOP_GRACE_S));
         self.dispatcher.wake(&task_move.source);
         StopResult::Requested
     }
--- a/crates/latchtrack-core/src/scheduler/log_events.rs
+++ b/crates/latchtrack-core/src/scheduler/log_events.rs
@@ -7,6 +7,7 @@
 use latchtrack_balance::resources::Resources;
 use latchtrack_quota::Notice;
 
+use super::decision_log::Decision;
 use super::load_balancing::BalanceSummary;
 pub use crate::record_shards::RejectedShard;
 
@@ -85,6 +86,18 @@
         /// Time since the start of this term, in ms.
         term_ms: Millis,
     },
+    /// A machine reported an attempt of this term after the leader had forgotten it: a copy of a
+    /// command has launched it once more.
+    ForgottenAttemptReported {
+        /// Name of the machine.
+        machine: String,
+        /// Id of the task.
+        task: TaskId,
+        /// The number of the attempt.
+        attempt: u64,
+        /// Highest token that the machine has seen.
+        heartbeat_token: u64,
+    },
     /// A machine sends heartbeats but does not start its tasks; it is terminated.
     LaunchesIgnored {
         /// Name of the machine.
@@ -195,6 +208,8 @@
     Balance(Box<BalanceSummary>),
     /// A notice about quota shared by several cells.
     Quota(Notice),
+    /// A decision about a task run; only if decisions are logged.
+    Decision(Box<Decision>),
 }
 
 impl LogEvent {
@@ -215,6 +230,7 @@
                 "worker lease of unreconciled machine expired, terminating it"
             }
             LogEvent::OlderTokenAnswered { .. } => "heartbeat with an older token answered",
+            LogEvent::ForgottenAttemptReported { .. } => "forgotten attempt reported again",
             LogEvent::LaunchesIgnored { .. } => "machine ignores launches, terminating it",
             LogEvent::MachineNeverJoined { .. } => "machine never joined, terminating it",
             LogEvent::MachineSlow { .. } => "machine is slow, terminating it once it is empty",
@@ -239,7 +255,7 @@
                 "machine type has invalid amounts, cannot compute its load"
             }
             LogEvent::Balance(_) => "load balance",
-            LogEvent::Quota(_) => "",
+            LogEvent::Quota(_) | LogEvent::Decision(_) => "",
         }
     }
 }
@@ -264,6 +280,12 @@
             LogEvent::OlderTokenAnswered { machine, heartbeat_token, term_ms } => {
                 write!(f, " machine={machine} heartbeat_token={heartbeat_token} term_ms={term_ms}")
             }
+            LogEvent::ForgottenAttemptReported { machine, task, attempt, heartbeat_token } => {
+                write!(
+                f,
+                " machine={machine} task={task} attempt={attempt} heartbeat_token={heartbeat_token}"
+            )
+            }
             LogEvent::MachineFailed { machine }
             | LogEvent::MachineUnlisted { machine }
             | LogEvent::LaunchesIgnored { machine }
@@ -298,6 +320,7 @@
             }
             LogEvent::Balance(summary) => write_balance(f, summary),
             LogEvent::Quota(notice) => notice.fmt(f),
+            LogEvent::Decision(decision) => decision.fmt(f),
         }
     }
 }
--- a/crates/latchtrack-core/src/scheduler/messages.rs
+++ b/crates/latchtrack-core/src/scheduler/messages.rs
@@ -102,6 +102,18 @@
     NoAnswer,
 }
 
+impl CallOutcome {
+    /// Returns the outcome as it appears in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            CallOutcome::Executed(_) => "executed",
+            CallOutcome::Rejected(_) => "rejected",
+            CallOutcome::NotSent => "not_sent",
+            CallOutcome::NoAnswer => "no_answer",
+        }
+    }
+}
+
 /// The outcome of a provision request.
 #[derive(Clone, Debug)]
 pub enum ProvisionOutcome {
--- a/crates/latchtrack-core/src/scheduler/mod.rs
+++ b/crates/latchtrack-core/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod cell_quota;
 mod cycle;
 mod cycle_state;
+mod decision_log;
 mod deferral;
 mod direct_calls;
 mod dispatcher;
@@ -53,6 +54,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+pub use decision_log::{CommandRoute, Decision, DecisionCounts, ReleaseReason};
 pub use gangs::AttemptState;
 pub use load_balancing::BalanceSummary;
 pub use log_events::{AdoptionSource, LogEvent, RejectedShard, ResignReason};
@@ -110,6 +112,9 @@
     image_locality: ImageLocality,
     cycle_timer: CycleTimer,
     load_balancing: LoadBalancing,
+    /// Whether decisions are logged.
+    logs_decisions: bool,
+    decision_counts: DecisionCounts,
     /// Effects of the event being handled.
     effects: Vec<Effect>,
 }
@@ -156,6 +161,8 @@
             cycle_timer: CycleTimer::default(),
             load_balancing: LoadBalancing::new(policy.balance.limits),
             policy,
+            logs_decisions: false,
+            decision_counts: DecisionCounts::default(),
             effects: Vec::new(),
         }
     }
--- a/crates/latchtrack-core/src/scheduler/task_runs.rs
+++ b/crates/latchtrack-core/src/scheduler/task_runs.rs
@@ -1,5 +1,6 @@
 //! Life cycle of task runs: adoption from a heartbeat, end, release, and stop with their job.
 
+use super::decision_log::{Decision, ReleaseReason};
 use super::gangs::FetchesOnEnd;
 use super::log_events::LogEvent;
 use super::messages::Effect;
@@ -7,7 +8,7 @@
 use crate::bitmap::chunk_of;
 use crate::constants::{GANG_INCOMPLETE_BACKOFF_MS, REFUSED_BACKOFF_MS};
 use crate::job::{Assignment, Job, JobId};
-use crate::machine::{ExitCause, Machine, StopRequest, TaskPhase, TaskRun, TaskStatus};
+use crate::machine::{ExitCause, Machine, StopReason, StopRequest, TaskPhase, TaskRun, TaskStatus};
 use crate::Millis;
 
 impl Scheduler {
@@ -52,7 +53,7 @@
                 }));
             }
         }
-        self.release_run(now, machine, run);
+        self.release_run(now, machine, run, ReleaseReason::Ended(cause));
     }
 
     fn on_run_done(&mut self, now: Millis, name: &str, run: &TaskRun) {
@@ -106,7 +107,13 @@
 
     /// Releases a run that is known to have left its machine without a result, and requeues its
     /// task.
-    pub(super) fn release_run(&mut self, now: Millis, machine: &str, run: &TaskRun) {
+    pub(super) fn release_run(
+        &mut self,
+        now: Millis,
+        machine: &str,
+        run: &TaskRun,
+        reason: ReleaseReason,
+    ) {
         let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
         let index = run.task.index;
         let is_this_run = |assignment: &Assignment| {
@@ -116,8 +123,15 @@
             return;
         }
         job.requeue(index);
+        let is_gang = job.spec.gang;
+        self.log_decision(|| Decision::TaskReleased {
+            machine: machine.to_string(),
+            task: run.task,
+            attempt: run.attempt,
+            reason,
+        });
         self.cycle_timer.request();
-        if job.spec.gang {
+        if is_gang {
             self.end_attempt(now, run.task.job, run.attempt, FetchesOnEnd::after(run));
         }
     }
@@ -129,7 +143,8 @@
 pub(super) fn adopt_run(machine: &str, status: &TaskStatus, job: Option<&mut Job>) -> TaskRun {
     let TaskStatus { task, attempt, .. } = *status;
     let spec = job.as_ref().map(|job| job.spec.clone());
-    let mut stop = Some(StopRequest::IMMEDIATE);
+    let reason = if job.is_some() { StopReason::NotAssigned } else { StopReason::JobClosed };
+    let mut stop = Some(StopRequest::immediate(reason));
     if let Some(job) = job {
         if !job.done.get(task.index) && !job.placed.contains_key(&task.index) {
             job.place(task.index, Assignment { machine: machine.into(), attempt });
@@ -157,7 +172,7 @@
     });
     let mut any = false;
     for run in machine.runs.values_mut().filter(|run| run.task.job == id && run.is_live()) {
-        run.stop = Some(StopRequest::IMMEDIATE);
+        run.stop = Some(StopRequest::immediate(StopReason::JobClosed));
         any = true;
     }
     any
--- a/crates/latchtrack-core/src/scheduler/termination.rs
+++ b/crates/latchtrack-core/src/scheduler/termination.rs
@@ -2,12 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::decision_log::ReleaseReason;
 use super::messages::{Effect, TerminateOutcome};
 use super::policy::Policy;
 use super::Scheduler;
 use crate::constants::STOP_GRACE_S;
 use crate::job::{Job, JobId};
-use crate::machine::{ExitCause, Machine, StopRequest, TaskPhase, TaskRun};
+use crate::machine::{ExitCause, Machine, StopReason, StopRequest, TaskPhase, TaskRun};
 use crate::placement::Offer;
 use crate::Millis;
 
@@ -46,7 +47,7 @@
                 spot: machine.spot,
             });
             for run in machine.runs.values().filter(|run| run.is_live()) {
-                self.release_run(now, &name, run);
+                self.release_run(now, &name, run, ReleaseReason::MachineTerminated);
             }
             self.persistence.remove_machine(&name);
             self.dispatcher.forget(&name);
@@ -69,12 +70,13 @@
                     gangs.insert(spec.id);
                     continue;
                 }
-                run.stop = Some(StopRequest { grace_s: spec.save_s + STOP_GRACE_S, sent_at: None });
+                let grace_s = spec.save_s + STOP_GRACE_S;
+                run.stop = Some(StopRequest::with_grace(StopReason::Preempted, grace_s));
                 self.dispatcher.wake(&machine.name);
             }
         }
         for id in gangs {
-            self.stop_gang(now, id);
+            self.stop_gang(now, id, StopReason::Preempted);
         }
     }
 
--- a/crates/latchtrack-core/src/scheduler/worker_leases.rs
+++ b/crates/latchtrack-core/src/scheduler/worker_leases.rs
@@ -2,6 +2,7 @@
 //! and advances to the next agent epoch. The leader counts the leases on its own clock, from a time
 //! at which each began at the latest.
 
+use super::decision_log::ReleaseReason;
 use super::log_events::LogEvent;
 use super::messages::Effect;
 use super::Scheduler;
@@ -82,7 +83,7 @@
                 LogEvent::WorkerLeaseExpired { machine: name.clone(), task_runs: runs.len() };
             self.effects.push(Effect::Log(event));
             for run in runs.values() {
-                self.release_run(now, &name, run);
+                self.release_run(now, &name, run, ReleaseReason::WorkerLeaseExpired);
             }
         }
     }
--- a/crates/latchtrack-core/src/task_run.rs
+++ b/crates/latchtrack-core/src/task_run.rs
@@ -47,9 +47,39 @@
     Ended(ExitCause),
 }
 
+/// Why a task run is to be stopped.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum StopReason {
+    /// Its job is done or cancelled.
+    JobClosed,
+    /// Its machine reported it while its task was done or assigned elsewhere.
+    NotAssigned,
+    /// The cloud is about to preempt its machine.
+    Preempted,
+    /// Another task of its gang attempt has ended.
+    GangAttemptEnded,
+    /// It moves to another machine.
+    Moved,
+}
+
+impl StopReason {
+    /// Returns the reason as it appears in the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            StopReason::JobClosed => "job_closed",
+            StopReason::NotAssigned => "not_assigned",
+            StopReason::Preempted => "preempted",
+            StopReason::GangAttemptEnded => "gang_attempt_ended",
+            StopReason::Moved => "moved",
+        }
+    }
+}
+
 /// A request to stop a task run.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct StopRequest {
+    /// Why it is stopped.
+    pub reason: StopReason,
     /// s that the task is given to save its progress.
     pub grace_s: f64,
     /// The time at which it was last sent; `None` if it was not sent yet.
@@ -57,8 +87,15 @@
 }
 
 impl StopRequest {
-    /// A request that is yet to be sent and leaves no time to save progress.
-    pub const IMMEDIATE: StopRequest = StopRequest { grace_s: 0.0, sent_at: None };
+    /// Returns a request that is yet to be sent and leaves no time to save progress.
+    pub fn immediate(reason: StopReason) -> Self {
+        StopRequest::with_grace(reason, 0.0)
+    }
+
+    /// Returns a request that is yet to be sent and leaves `grace_s` seconds to save progress.
+    pub fn with_grace(reason: StopReason, grace_s: f64) -> Self {
+        StopRequest { reason, grace_s, sent_at: None }
+    }
 }
 
 /// One attempt at a task on a machine.
--- a/crates/latchtrack-core/tests/log_events.rs
+++ b/crates/latchtrack-core/tests/log_events.rs
@@ -4,8 +4,10 @@
 use latchtrack_balance::moves::{AbandonReason, MoveStage};
 use latchtrack_balance::spread::Spread;
 use latchtrack_core::job::{JobId, TaskId};
+use latchtrack_core::machine::{Command, ExitCause};
 use latchtrack_core::scheduler::{
-    AdoptionSource, BalanceSummary, LogEvent, RejectedShard, ResignReason,
+    AdoptionSource, BalanceSummary, CommandRoute, Decision, LogEvent, RejectedShard, ReleaseReason,
+    ResignReason,
 };
 use latchtrack_quota::{LedgerProblem, Notice};
 
@@ -40,6 +42,18 @@
             LogEvent::JobQuarantined { job, failed_machines: 3 },
             format!("job quarantined, trying one task at a time job={job} failed_machines=3"),
         ),
+        (
+            LogEvent::ForgottenAttemptReported {
+                machine: machine(),
+                task,
+                attempt: 9,
+                heartbeat_token: 7,
+            },
+            format!(
+                "forgotten attempt reported again machine=m-1 task={task} attempt=9 \
+                 heartbeat_token=7"
+            ),
+        ),
         (
             LogEvent::RecordShardRejected { shard, action: RejectedShard::Abandoned },
             "record shard rejected by the state service shard=41-1 action=abandoned".to_string(),
@@ -59,6 +73,43 @@
     }
 }
 
+#[test]
+fn a_decision_is_logged_with_its_token_epoch_attempt_and_reason() {
+    let task = TaskId { job: JobId(5), index: 2 };
+    let (machine, attempt) = ("m-1".to_string(), 9);
+    for (decision, text) in [
+        (
+            Decision::CommandSent {
+                machine: machine.clone(),
+                route: CommandRoute::DirectCall,
+                token: 7,
+                agent_epoch: 1,
+                command: Command::Launch { task, attempt },
+                reason: "placed",
+            },
+            format!(
+                "launch sent machine=m-1 task={task} attempt=9 token=7 agent_epoch=1 \
+                 route=direct_call reason=placed"
+            ),
+        ),
+        (
+            Decision::TaskReleased {
+                machine: machine.clone(),
+                task,
+                attempt,
+                reason: ReleaseReason::Ended(ExitCause::Failed),
+            },
+            format!("task released machine=m-1 task={task} attempt=9 reason=failed"),
+        ),
+        (
+            Decision::RunAdopted { machine, task, attempt, holds_task: false },
+            format!("unknown task run reported machine=m-1 task={task} attempt=9 holds_task=false"),
+        ),
+    ] {
+        assert_eq!(LogEvent::Decision(Box::new(decision)).to_string(), text);
+    }
+}
+
 #[test]
 fn the_balance_summary_is_logged_as_fields() {
     let summary = BalanceSummary {
--- a/crates/latchtrack/src/actors/scheduler_driver/effects.rs
+++ b/crates/latchtrack/src/actors/scheduler_driver/effects.rs
@@ -4,7 +4,9 @@
 
 use actix::prelude::*;
 use latchtrack_core::machine::Command;
-use latchtrack_core::scheduler::{CallOutcome, Effect, Event, ProvisionOutcome, TerminateOutcome};
+use latchtrack_core::scheduler::{
+    CallOutcome, Effect, Event, LogEvent, ProvisionOutcome, TerminateOutcome,
+};
 use latchtrack_quota::{LedgerWrite, WriteOutcome};
 
 use super::SchedulerDriver;
@@ -91,6 +93,7 @@
                     election.resign.do_send(Resign { reason: reason.to_string() });
                 }
             }
+            Effect::Log(LogEvent::Decision(decision)) => tracing::debug!("{decision}"),
             Effect::Log(event) => tracing::info!("{event}"),
             // Handled by the callers.
             Effect::Respond(_)
--- a/crates/latchtrack/src/actors/scheduler_driver/mod.rs
+++ b/crates/latchtrack/src/actors/scheduler_driver/mod.rs
@@ -148,7 +148,8 @@
         self.cache.do_send(UpdateTaskCounts(counts));
         let (token, overdue) = (scheduler.token(), scheduler.overdue_machines(now));
         self.peers.do_send(BroadcastFrame(Frame::Progress { token, jobs, overdue }));
-        tracing::debug!(token, summary = ?scheduler.summary(now), "scheduler summary");
+        let decisions = scheduler.decision_counts();
+        tracing::debug!(token, summary = ?scheduler.summary(now), ?decisions, "scheduler summary");
     }
 
     /// Handles a heartbeat while this node leads.
--- a/crates/latchtrack/src/actors/scheduler_driver/recovery.rs
+++ b/crates/latchtrack/src/actors/scheduler_driver/recovery.rs
@@ -72,14 +72,16 @@
         // Without a known leaderless revision before this term, the term's own token is used.
         let leaderless_since =
             stored.leaderless_since.filter(|revision| *revision < token).unwrap_or(token);
-        self.scheduler = Some(Scheduler::new(
+        let mut scheduler = Scheduler::new(
             self.policy.clone(),
             TermRevisions { token, leaderless_since },
             self.types.clone(),
             stored.machine_sets,
             stored.results,
             now,
-        ));
+        );
+        scheduler.set_decision_log(tracing::enabled!(tracing::Level::DEBUG));
+        self.scheduler = Some(scheduler);
         for job in stored.jobs {
             let mut done = None;
             for (chunk, bytes) in chunks.remove(&job.spec.id).unwrap_or_default() {
--- a/crates/latchtrack/src/actors/scheduler_driver/worker_calls.rs
+++ b/crates/latchtrack/src/actors/scheduler_driver/worker_calls.rs
@@ -38,6 +38,7 @@
                 // Without a valid lease, the response is treated as lost.
                 CallOutcome::NoAnswer
             };
+            tracing::debug!(machine, %call, token, outcome = outcome.name(), "direct call finished");
             act.handle_event(Event::CallFinished { machine, call, outcome }, ctx);
         }));
     }
