Reproduce: copies of answered direct calls start forgotten attempts

The simulation lets any executed call to a worker arrive again, up to three times, from milliseconds to three worker leases later, also across leader changes; a separate generator draws the copies, so that other runs stay as they were. The cluster of the core tests keeps the tokens of its machines and every executed call, and can deliver copies. Its leaders get their tokens from one revision counter, as in the state service.

--- a/crates/latchtrack-core/tests/common/site.rs
+++ b/crates/latchtrack-core/tests/common/site.rs
@@ -60,6 +60,21 @@
     pub concurrent_runs: Vec<String>,
     /// Log lines of all leaders so far.
     pub log_lines: Vec<String>,
+    /// The highest fencing token that each machine has seen.
+    pub tokens: BTreeMap<u64, u64>,
+    /// Direct calls that machines have executed, oldest first.
+    pub executed_calls: Vec<ExecutedCall>,
+    /// The revision of the state service.
+    pub revision: u64,
+}
+
+/// A direct call that a machine has executed.
+#[derive(Clone, Debug)]
+pub struct ExecutedCall {
+    machine: u64,
+    token: u64,
+    agent_epoch: u64,
+    commands: Vec<Command>,
 }
 
 /// Returns the zone of a machine: `a` if its number is even, `b` if it is odd.
@@ -109,6 +124,9 @@
             rejecting_launches: BTreeSet::new(),
             concurrent_runs: Vec::new(),
             log_lines: Vec::new(),
+            tokens: (0..machines).map(|i| (i, 0)).collect(),
+            executed_calls: Vec::new(),
+            revision: TOKEN,
         };
         cluster.send_all_heartbeats();
         cluster
@@ -116,15 +134,28 @@
 
     /// Submits a job at the current time.
     pub fn submit(&mut self, spec: JobSpec) {
+        self.revision += 1;
         let event = Event::JobOpened {
             spec: Arc::new(spec),
             submitted_at: self.now,
-            revision: self.leader.token() + 1,
+            revision: self.revision,
             done: None,
         };
         self.handle_event(event);
     }
 
+    /// Replaces the leader by a new one that inherits this many machines.
+    pub fn fail_over(&mut self, machines: u64, policy: Policy) {
+        self.revision += 1;
+        self.leader = new_leader(machines, self.revision, policy, self.now);
+    }
+
+    /// Delivers a direct call once more, to a machine that has executed it before.
+    pub fn deliver_copy(&mut self, call: &ExecutedCall) {
+        let ExecutedCall { machine, token, agent_epoch, commands } = call;
+        self.execute_call(*machine, *token, *agent_epoch, commands);
+    }
+
     /// Passes an event to the leader and carries out the effects.
     pub fn handle_event(&mut self, event: Event) {
         let reporting = match &event {
@@ -137,12 +168,13 @@
                     let machine = reporting.clone().expect("only heartbeats are responded to");
                     self.execute(&machine, &commands);
                 }
-                Effect::CallWorker { machine, call, commands, .. } => {
-                    let outcome = if self.execute(&machine, &commands) {
-                        CallOutcome::Executed(self.next_heartbeat(machine_number(&machine)))
-                    } else {
-                        CallOutcome::NoAnswer
-                    };
+                Effect::CallWorker { machine, agent_epoch, call, commands, .. } => {
+                    let (i, token) = (machine_number(&machine), self.leader.token());
+                    let outcome = self.execute_call(i, token, agent_epoch, &commands);
+                    if matches!(outcome, CallOutcome::Executed(_)) {
+                        let call = ExecutedCall { machine: i, token, agent_epoch, commands };
+                        self.executed_calls.push(call);
+                    }
                     self.handle_event(Event::CallFinished { machine, call, outcome });
                 }
                 Effect::Provision { request_id, offer, .. } => {
@@ -169,6 +201,25 @@
         }
     }
 
+    /// Lets a machine execute a direct call, unless it is unreachable or rejects the call.
+    fn execute_call(
+        &mut self,
+        i: u64,
+        token: u64,
+        agent_epoch: u64,
+        commands: &[Command],
+    ) -> CallOutcome {
+        let Some(seen) = self.tokens.get(&i).copied() else { return CallOutcome::NoAnswer };
+        if token < seen || agent_epoch != self.agent_epoch[&i] {
+            return CallOutcome::Rejected(self.next_heartbeat(i));
+        }
+        if !self.execute(&machine_name(i), commands) {
+            return CallOutcome::NoAnswer;
+        }
+        self.tokens.insert(i, token);
+        CallOutcome::Executed(self.next_heartbeat(i))
+    }
+
     /// Executes commands on a machine, unless it is unreachable; returns whether they reached it.
     pub fn execute(&mut self, machine: &str, commands: &[Command]) -> bool {
         let i = machine_number(machine);
@@ -225,7 +276,8 @@
             spot: false,
             agent_epoch: self.agent_epoch[&i],
             sequence: self.sequence,
-            token: self.leader.token(),
+            // Every live machine has heard of the leader.
+            token: self.leader.token().max(self.tokens[&i]),
             notice_s: self.preemption_notices.get(&i).copied(),
             tasks: tasks.collect(),
         }
@@ -292,7 +344,8 @@
             let writes = self.leader.next_writes(self.now, MAX_CHANGES);
             if !writes.is_empty() {
                 self.writes.extend(writes.clone());
-                let outcome = BatchOutcome::Committed(self.now);
+                self.revision += 1;
+                let outcome = BatchOutcome::Committed(self.revision);
                 self.handle_event(Event::WritesFinished { writes, outcome });
             }
         }
--- a/crates/latchtrack-core/tests/gangs/failover.rs
+++ b/crates/latchtrack-core/tests/gangs/failover.rs
@@ -6,7 +6,7 @@
 use latchtrack_core::machine::{ExitCause, TaskPhase};
 use latchtrack_core::scheduler::{AttemptState, Event};
 
-use super::common::site::{new_leader, Cluster, TOKEN};
+use super::common::site::{Cluster, TOKEN};
 use super::{gang, long_idle_timeout, only_attempt};
 
 /// Returns a cluster with a gang of four tasks in these phases after a failover. One task's machine
@@ -21,7 +21,7 @@
     for tasks in cluster.tasks.values_mut() {
         tasks.retain(|(task, _), _| Some(task.index) != forgotten);
     }
-    cluster.leader = new_leader(2, TOKEN + 9, long_idle_timeout(), cluster.now);
+    cluster.fail_over(2, long_idle_timeout());
     let spec = Arc::new(gang(1, 4));
     cluster.handle_event(Event::JobOpened {
         spec,
@@ -50,7 +50,7 @@
         let mut cluster = after_failover(|_| TaskPhase::Waiting, Some(forgotten));
         cluster.advance_time(10_000);
         let attempt = only_attempt(&cluster, 1, 4);
-        assert_eq!(attempt >> latchtrack_core::constants::ATTEMPT_BITS, TOKEN + 9);
+        assert_eq!(attempt >> latchtrack_core::constants::ATTEMPT_BITS, cluster.leader.token());
         assert_eq!((cluster.launches.len(), cluster.stops.len()), (8, 3));
     }
 }
@@ -65,7 +65,7 @@
             tasks.insert(old, TaskPhase::Ended(ExitCause::GangIncomplete));
         }
     }
-    cluster.leader = new_leader(2, TOKEN + 20, long_idle_timeout(), cluster.now);
+    cluster.fail_over(2, long_idle_timeout());
     let spec = Arc::new(gang(1, 4));
     cluster.handle_event(Event::JobOpened {
         spec,
--- a/crates/latchtrack-core/tests/load_balancing/faults.rs
+++ b/crates/latchtrack-core/tests/load_balancing/faults.rs
@@ -5,7 +5,7 @@
 use latchtrack_core::machine::{ExitCause, TaskPhase};
 use latchtrack_core::scheduler::{BalancePolicy, Event, Policy};
 
-use crate::common::site::{new_leader, Cluster, TOKEN};
+use crate::common::site::{Cluster, TOKEN};
 use crate::common::{machine_name, WORKER_LEASE_MS};
 use crate::fixtures::{
     assert_each_task_runs_once, checkpointing_array, clear_faults, finish_checkpoints,
@@ -107,10 +107,10 @@
             let what = format!("while {stage}, the next moves: {next_moves}");
             let mut cluster = unbalanced_cluster(moves_enabled());
             pass_until_stage(&mut cluster, stage);
-            for (token, moves) in [(TOKEN + 1, next_moves), (TOKEN + 2, !next_moves)] {
+            for moves in [next_moves, !next_moves] {
                 let balance = BalancePolicy { moves, ..moves_enabled().balance };
                 let policy = Policy { balance, ..moves_enabled() };
-                cluster.leader = new_leader(6, token, policy, cluster.now);
+                cluster.fail_over(6, policy);
                 // The job was accepted in an earlier term.
                 let job = Event::JobOpened {
                     spec: std::sync::Arc::new(checkpointing_array(1, 8)),
--- a/crates/latchtrack-core/tests/load_balancing/selection.rs
+++ b/crates/latchtrack-core/tests/load_balancing/selection.rs
@@ -7,7 +7,7 @@
 use latchtrack_core::scheduler::{BalancePolicy, Event, Policy};
 
 use crate::common::machine_type;
-use crate::common::site::{new_leader, zone_of, Cluster, TOKEN};
+use crate::common::site::{zone_of, Cluster, TOKEN};
 use crate::fixtures::{
     advance_tasks, array_without_checkpoints, checkpointing_array, clear_faults, inject_fault,
     live_tasks_on, machines_running, moves_enabled, pass_until_stage, run_for, unbalanced_cluster,
@@ -91,7 +91,7 @@
 fn nothing_moves_while_a_machine_is_unreconciled() {
     let mut cluster = unbalanced_cluster(moves_enabled());
     cluster.silent.insert(5);
-    cluster.leader = new_leader(6, TOKEN + 1, moves_enabled(), cluster.now);
+    cluster.fail_over(6, moves_enabled());
     let job = Event::JobOpened {
         spec: std::sync::Arc::new(checkpointing_array(1, 8)),
         submitted_at: 1_000,
--- a/crates/latchtrack-core/tests/simulation/main.rs
+++ b/crates/latchtrack-core/tests/simulation/main.rs
@@ -5,6 +5,7 @@
 //! checks detect it.
 
 mod balance;
+mod call_copies;
 mod checks;
 mod disabled_guards;
 mod fault_interactions;
--- a/crates/latchtrack-core/tests/simulation/world/effects.rs
+++ b/crates/latchtrack-core/tests/simulation/world/effects.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 
 use super::federation::SharedWrite;
-use super::messages::{DirectCall, Message, Origin, Response};
+use super::messages::{Delivery, DirectCall, Message, Origin, Response};
 use super::World;
 
 /// Time after which a node gives up on a direct call, whether or not it arrives, ms.
@@ -35,15 +35,13 @@
             match effect {
                 Effect::Respond(commands) => response = Some(commands),
                 Effect::CallWorker { machine, agent_epoch, call, commands, .. } => {
-                    let worker = machine;
-                    let is_late = false;
                     self.send_call(DirectCall {
                         origin,
-                        worker,
+                        worker: machine,
                         agent_epoch,
                         call,
                         commands,
-                        is_late,
+                        delivery: Delivery::InTime,
                     });
                 }
                 Effect::Provision { request_id, offer, number } => {
@@ -123,7 +121,8 @@
             delay
         };
         let is_late = is_late || is_cut_off || partition.is_some();
-        self.post(delay, Message::DirectCall(DirectCall { is_late, ..direct_call }));
+        let delivery = if is_late { Delivery::Late } else { Delivery::InTime };
+        self.post(delay, Message::DirectCall(DirectCall { delivery, ..direct_call }));
     }
 
     fn send_provision(&mut self, origin: Origin, request_id: String, offer: Offer, number: u32) {
--- a/crates/latchtrack-core/tests/simulation/world/messages.rs
+++ b/crates/latchtrack-core/tests/simulation/world/messages.rs
@@ -9,7 +9,7 @@
 
 use super::guards::DisabledGuard;
 use super::state::JobState;
-use super::World;
+use super::{World, WORKER_LEASE_MS};
 
 /// Time after which a worker gives up on a heartbeat, ms.
 pub(super) const HEARTBEAT_TIMEOUT_MS: u64 = 4_000;
@@ -24,6 +24,9 @@
 const CLOUD_RESPONSE_MS: u64 = 50;
 const CLOUD_FAILURE_MS: u64 = 800;
 
+/// Most copies of a direct call.
+const MAX_CALL_COPIES: usize = 3;
+
 /// The process and term of a node that a message belongs to.
 #[derive(Clone, Copy)]
 pub(super) struct Origin {
@@ -72,15 +75,26 @@
     sent_at: u64,
 }
 
+/// How a direct call reaches its worker.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Delivery {
+    /// While its node awaits the answer.
+    InTime,
+    /// After its node has given up on it.
+    Late,
+    /// Once more, after the worker has executed and answered it.
+    Copy,
+}
+
 /// A node's direct call to a worker.
+#[derive(Clone)]
 pub(super) struct DirectCall {
     pub origin: Origin,
     pub worker: String,
     pub agent_epoch: u64,
     pub call: CallId,
     pub commands: Vec<Command>,
-    /// Whether it arrives after its node has given up on it.
-    pub is_late: bool,
+    pub delivery: Delivery,
 }
 
 /// A message in flight.
@@ -293,18 +307,24 @@
         if now < worker.hung_until {
             // Executed once the machine resumes.
             let wait = worker.hung_until - now + 1;
-            self.post(wait, Message::DirectCall(DirectCall { is_late: true, ..direct_call }));
+            let delivery = match direct_call.delivery {
+                Delivery::InTime => Delivery::Late,
+                delivery => delivery,
+            };
+            self.post(wait, Message::DirectCall(DirectCall { delivery, ..direct_call }));
             return;
         }
-        let DirectCall { origin, worker: name, agent_epoch, call, commands, is_late } = direct_call;
         worker.sequence += 1;
-        let is_valid = origin.token >= worker.token && agent_epoch == worker.agent_epoch;
+        let is_valid = direct_call.origin.token >= worker.token
+            && direct_call.agent_epoch == worker.agent_epoch;
         if is_valid {
-            worker.token = origin.token;
-            self.stats.late_commands += u64::from(is_late && !commands.is_empty());
-            self.execute(&name, &commands);
+            worker.token = direct_call.origin.token;
+            self.execute_call(&direct_call);
+        } else if direct_call.delivery == Delivery::Copy {
+            self.record_occurrence("copy of a call rejected");
         }
-        if is_late {
+        let DirectCall { origin, worker: name, call, delivery, .. } = direct_call;
+        if delivery != Delivery::InTime {
             return;
         }
         let Some(heartbeat) = self.heartbeat_of(&name) else { return };
@@ -321,6 +341,44 @@
         }
     }
 
+    /// Executes a direct call on its worker. Copies of it may arrive again.
+    fn execute_call(&mut self, direct_call: &DirectCall) {
+        let DirectCall { worker, commands, delivery, .. } = direct_call;
+        let attempts = self.workers.get(worker).map_or(0, |worker| worker.tasks.len());
+        self.execute(worker, commands);
+        let launched = self.workers.get(worker).map_or(0, |worker| worker.tasks.len()) > attempts;
+        match delivery {
+            Delivery::Copy if launched => self.record_occurrence("copy of a call launched a task"),
+            Delivery::Copy => self.record_occurrence("copy of a call without effect"),
+            Delivery::InTime | Delivery::Late => {
+                let is_late = *delivery == Delivery::Late;
+                self.stats.late_commands += u64::from(is_late && !commands.is_empty());
+                self.post_copies(direct_call);
+            }
+        }
+    }
+
+    /// Lets copies of an executed direct call arrive, up to three worker leases later.
+    fn post_copies(&mut self, direct_call: &DirectCall) {
+        let probability = self.size.call_copy_probability;
+        if direct_call.commands.is_empty() || !self.has_random_faults() {
+            return;
+        }
+        for _ in 0..MAX_CALL_COPIES {
+            if !self.copies_rng.random_bool(probability) {
+                return;
+            }
+            let max_delay_ms = match self.copies_rng.random_range(0..3) {
+                0 => WORKER_LEASE_MS / 10,
+                1 => WORKER_LEASE_MS,
+                _ => 3 * WORKER_LEASE_MS,
+            };
+            let delay = self.copies_rng.random_range(1..max_delay_ms);
+            let copy = DirectCall { delivery: Delivery::Copy, ..direct_call.clone() };
+            self.post(delay, Message::DirectCall(copy));
+        }
+    }
+
     fn finish_provision(
         &mut self,
         origin: Origin,
--- a/crates/latchtrack-core/tests/simulation/world/mod.rs
+++ b/crates/latchtrack-core/tests/simulation/world/mod.rs
@@ -52,6 +52,8 @@
 /// records are split across several values.
 const SMALL_VALUE_BYTES: usize = 300;
 const LARGE_VALUE_BYTES: usize = 4_096;
+/// Changes the seed of the generator for copies, so that it differs from the world's.
+const COPIES_SEED_MASK: u64 = 1 << 32;
 /// A world with more machines per offer than this is large.
 const LARGE_MACHINES_PER_OFFER: usize = 10;
 /// Changes per transaction to which leaders limit their writes.
@@ -61,6 +63,8 @@
 /// federation. Times are in ms of its clock.
 pub struct World {
     rng: StdRng,
+    /// Draws the copies of direct calls, so that runs without them do not change.
+    copies_rng: StdRng,
     size: Size,
     disabled_guard: DisabledGuard,
     now: u64,
@@ -156,6 +160,7 @@
         let value_bytes = if is_large { LARGE_VALUE_BYTES } else { SMALL_VALUE_BYTES };
         World {
             rng,
+            copies_rng: StdRng::seed_from_u64(seed ^ COPIES_SEED_MASK),
             size,
             disabled_guard,
             now: 1_000,
--- a/crates/latchtrack-core/tests/simulation/world/size.rs
+++ b/crates/latchtrack-core/tests/simulation/world/size.rs
@@ -30,6 +30,8 @@
     pub fault_probability: f64,
     /// Probability that the network duplicates a heartbeat.
     pub duplicate_probability: f64,
+    /// Probability that a direct call arrives again after it was executed, and of each further copy.
+    pub call_copy_probability: f64,
     /// CPU limit of the limited team.
     pub limited_team_cpus: f64,
     /// Shortest time between two write transactions of a leader, its share of the write rate, ms.
@@ -60,6 +62,7 @@
     initial_jobs: 0,
     fault_probability: 0.02,
     duplicate_probability: 0.02,
+    call_copy_probability: 0.0,
     limited_team_cpus: 14.0,
     write_interval_ms: 0,
     spot_idle_timeout_ms: 5_000,
@@ -120,6 +123,7 @@
     initial_jobs: 150,
     fault_probability: 0.06,
     duplicate_probability: 0.02,
+    call_copy_probability: 0.0,
     limited_team_cpus: 2_000.0,
     write_interval_ms: 800,
     spot_idle_timeout_ms: 5_000,
