Forget an attempt only with a higher fencing token than the calls that launched it

Cause: a launch is idempotent only as long as the worker remembers its attempt. The leader told the worker to forget ended attempts while the direct calls that had launched them were still valid: same token, same agent epoch. A copy of such a call, answered long before, started the attempt anew. The leader guarded only against launches that were never answered, by keeping their attempts for the whole epoch.

Why this works: a worker rejects every call with a lower token than it has seen. The message that forgets an attempt carries a token above that of each direct call that launched it, so all copies are rejected, however late they come and whoever leads then. Launches that were never answered need no special case any more, and their attempts no longer stay listed until the epoch ends.

One test said that an attempt with an unanswered launch is not forgotten. It now says that it is forgotten with a higher token than the launch, which rules out the same late execution. The simulation checks each token against the revision and at each election, and catches ran_twice, ran_cancelled, quota and wrong_place if messages keep the first token of the term.

--- a/crates/latchtrack-core/src/machine.rs
+++ b/crates/latchtrack-core/src/machine.rs
@@ -128,6 +128,8 @@
     pub inherited: bool,
     /// The number of the newest message received from it.
     pub latest_message: MessageNumber,
+    /// The highest fencing token of this term that was sent to it or that it has reported, or 0.
+    pub fencing_token: u64,
     /// The time of the last heartbeat with this term's token, or `None` if there was none.
     /// Heartbeats with an older token prove nothing: they may be delayed copies from before this
     /// term, even from a machine that no longer exists.
@@ -181,6 +183,7 @@
             persisted: false,
             inherited: false,
             latest_message: MessageNumber::default(),
+            fencing_token: 0,
             last_heartbeat_at: None,
             older_token_heartbeat_at: None,
             heartbeat_expected_since: None,
--- a/crates/latchtrack-core/src/record_shards.rs
+++ b/crates/latchtrack-core/src/record_shards.rs
@@ -212,6 +212,11 @@
         })
     }
 
+    /// Whether a value has to be written, now or later.
+    pub fn has_changes(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
     /// Whether a value is due to be written.
     pub fn has_due_write(&self, now: Millis) -> bool {
         self.dirty.iter().any(|(name, urgency)| self.is_due(now, name, *urgency))
--- a/crates/latchtrack-core/src/scheduler/direct_calls.rs
+++ b/crates/latchtrack-core/src/scheduler/direct_calls.rs
@@ -79,10 +79,12 @@
         let kind = if commands.is_empty() { CallKind::Probe } else { CallKind::Commands };
         let call = self.dispatcher.open_call(kind);
         machine.open_call = Some(call);
+        let token = self.fencing.of(machine);
+        machine.fencing_token = token;
         let agent_epoch = machine.latest_message.agent_epoch.max(1);
         let machine = machine.name.to_string();
-        self.record_commands(&machine, CommandRoute::DirectCall, self.token, &commands);
-        self.effects.push(Effect::CallWorker { machine, addr, agent_epoch, call, commands });
+        self.record_commands(&machine, CommandRoute::DirectCall, token, &commands);
+        self.effects.push(Effect::CallWorker { machine, addr, token, agent_epoch, call, commands });
     }
 
     /// Handles the outcome of a direct call.
@@ -94,7 +96,7 @@
         outcome: CallOutcome,
     ) {
         // The call is closed even if its machine has been removed.
-        let kind = self.dispatcher.close_call(call);
+        self.dispatcher.close_call(call);
         let Some(machine) = self.inventory.get_mut(name).filter(|m| m.open_call == Some(call))
         else {
             return;
@@ -110,7 +112,7 @@
             CallOutcome::Rejected(heartbeat) => {
                 self.failure_detector.worker_reached_directly();
                 self.decision_counts.rejected_calls += 1;
-                if heartbeat.token > self.token {
+                if self.fencing.is_newer(heartbeat.token) {
                     self.effects.push(Effect::Resign(ResignReason::HigherToken));
                     return;
                 }
@@ -129,9 +131,6 @@
                 self.failure_detector.call_unanswered(&machine.zone);
                 machine.unanswered_calls += 1;
                 machine.next_call_at = now + CALL_BACKOFF_MS;
-                if kind != Some(CallKind::Probe) {
-                    mark_launches_unknown(machine);
-                }
             }
         }
         self.dispatch(now, None);
@@ -145,15 +144,6 @@
     }
 }
 
-/// Marks the launch outcome of all runs on a machine as unknown after an unanswered call. The
-/// scheduler does not record which launches a call carried. A run marked unnecessarily is never
-/// forgotten, which costs one entry in each heartbeat.
-fn mark_launches_unknown(machine: &mut Machine) {
-    for run in machine.runs.values_mut() {
-        run.launch_outcome_unknown = true;
-    }
-}
-
 fn needs_probe(machine: &Machine, now: Millis, probe_after_ms: Millis) -> bool {
     let may_call = machine.open_call.is_none()
         && !machine.termination_sent
--- a/crates/latchtrack-core/src/scheduler/dispatcher.rs
+++ b/crates/latchtrack-core/src/scheduler/dispatcher.rs
@@ -103,48 +103,45 @@
 
 impl Scheduler {
     /// Returns the commands for a heartbeat response: everything that the machine has not yet
-    /// reported as done.
-    pub(super) fn heartbeat_response(&mut self, now: Millis, machine: &str) -> Vec<Command> {
-        let Some(machine) = self.inventory.get_mut(machine) else { return Vec::new() };
-        if !machine.is_up() {
+    /// reported as done. The response must carry the machine's token, which this may raise.
+    pub(super) fn heartbeat_response(&mut self, now: Millis, name: &str) -> Vec<Command> {
+        let Some(machine) = self.inventory.get_mut(name).filter(|machine| machine.is_up()) else {
+            return Vec::new();
+        };
+        self.dispatcher.forget(name);
+        let mut commands = unreported_commands(machine, now);
+        commands.append(&mut self.forgets(name, commands.len()));
+        commands
+    }
+
+    /// Returns the forget commands that are due for a machine. If its token does not fence off the
+    /// launches of the attempts, the token is raised. Attempts for which this term has no higher
+    /// token yet are kept, and a write is requested that provides one.
+    fn forgets(&mut self, name: &str, other_commands: usize) -> Vec<Command> {
+        let Some(machine) = self.inventory.get_mut(name) else { return Vec::new() };
+        // A raised token would make the machine reject the open call.
+        if machine.open_call.is_some() {
             return Vec::new();
         }
-        self.dispatcher.forget(&machine.name);
-        let mut commands = Vec::new();
-        let mut forgets = Vec::new();
-        let has_open_call = machine.open_call.is_some();
-        for run in machine.runs.values_mut() {
-            let (task, attempt) = (run.task, run.attempt);
-            match run.phase {
-                TaskPhase::Assigned => {
-                    commands.push(Command::Launch { task, attempt });
-                    run.record_launch_sent(now);
-                    // The launch of a cancelled attempt may still arrive by a direct call. Sending
-                    // launch and stop here makes the attempt known to the machine, which then
-                    // ignores the late launch.
-                    push_stop(run, now, StopResend::Always, &mut commands);
-                }
-                TaskPhase::Fetching
-                | TaskPhase::Waiting
-                | TaskPhase::Running
-                | TaskPhase::Checkpointing
-                | TaskPhase::Unrecognised => {
-                    push_stop(run, now, StopResend::Always, &mut commands);
-                }
-                TaskPhase::Ended(cause) => {
-                    let may_arrive_late = run.launch_outcome_unknown || has_open_call;
-                    if !may_arrive_late && !is_unstored_result(run, cause, &self.jobs) {
-                        forgets.push(Command::Forget { task, attempt });
-                    }
-                }
-            }
-        }
+        let ended: Vec<&TaskRun> =
+            machine.runs.values().filter(|run| is_forgettable(run, &self.jobs)).collect();
         // A forget changes the worker's task list, which triggers another heartbeat, so forgets
         // are sent in batches or along with other commands.
-        if !commands.is_empty() || forgets.len() >= MIN_FORGET_BATCH {
-            commands.append(&mut forgets);
+        if ended.is_empty() || (other_commands == 0 && ended.len() < MIN_FORGET_BATCH) {
+            return Vec::new();
         }
-        commands
+        let mut token = self.fencing.of(machine);
+        if !ended.iter().all(|run| run.is_launch_fenced_by(token)) {
+            match self.fencing.above(token) {
+                Some(higher) => token = higher,
+                None => self.persistence.request_revision(machine),
+            }
+        }
+        let fenced = ended.into_iter().filter(|run| run.is_launch_fenced_by(token));
+        let forgets =
+            fenced.map(|run| Command::Forget { task: run.task, attempt: run.attempt }).collect();
+        machine.fencing_token = token;
+        forgets
     }
 
     /// Returns the commands for the response to a heartbeat that was not reconciled: those that end
@@ -192,7 +189,7 @@
                 self.dispatcher.wake_at_next_tick(name);
                 continue;
             }
-            let commands = direct_commands(machine, now);
+            let commands = direct_commands(machine, now, self.fencing.of(machine));
             if machine.runs.values().any(|run| run.is_live() && run.stop.is_some()) {
                 self.dispatcher.wake_at_next_tick(name.clone());
             }
@@ -203,13 +200,30 @@
     }
 }
 
-/// Returns the urgent commands for a machine: launches that were never sent, and stops.
-fn direct_commands(machine: &mut Machine, now: Millis) -> Vec<Command> {
+/// Returns the launches and stops for a machine that it has not reported as executed.
+fn unreported_commands(machine: &mut Machine, now: Millis) -> Vec<Command> {
+    let mut commands = Vec::new();
+    for run in machine.runs.values_mut().filter(|run| run.is_live()) {
+        // A cancelled attempt is launched and stopped, so that the machine knows it and ignores a
+        // late launch by a direct call.
+        if run.phase == TaskPhase::Assigned {
+            commands.push(Command::Launch { task: run.task, attempt: run.attempt });
+            run.record_launch_sent(now);
+        }
+        push_stop(run, now, StopResend::Always, &mut commands);
+    }
+    commands
+}
+
+/// Returns the urgent commands for a direct call with this token to a machine: launches that were
+/// never sent, and stops.
+fn direct_commands(machine: &mut Machine, now: Millis, token: u64) -> Vec<Command> {
     let mut commands = Vec::new();
     for run in machine.runs.values_mut() {
         if run.phase == TaskPhase::Assigned && run.launch_sends == 0 {
             commands.push(Command::Launch { task: run.task, attempt: run.attempt });
             run.record_launch_sent(now);
+            run.direct_launch_token = Some(token);
         }
         if run.is_live() {
             push_stop(run, now, StopResend::AfterInterval, &mut commands);
@@ -218,10 +232,16 @@
     commands
 }
 
-/// Whether a run has completed but its result is not stored yet, so that its machine must keep it.
-fn is_unstored_result(run: &TaskRun, cause: ExitCause, jobs: &BTreeMap<JobId, Job>) -> bool {
-    cause == ExitCause::Done
-        && jobs.get(&run.task.job).is_some_and(|job| !job.persisted.get(run.task.index))
+/// Whether a run has ended and its machine need not keep its result.
+fn is_forgettable(run: &TaskRun, jobs: &BTreeMap<JobId, Job>) -> bool {
+    match run.phase {
+        TaskPhase::Ended(ExitCause::Done) => {
+            let job = jobs.get(&run.task.job);
+            job.is_none_or(|job| job.persisted.get(run.task.index))
+        }
+        TaskPhase::Ended(_) => true,
+        _ => false,
+    }
 }
 
 /// Adds the stop command of a run, if it is due.
--- a/crates/latchtrack-core/src/scheduler/heartbeats.rs
+++ b/crates/latchtrack-core/src/scheduler/heartbeats.rs
@@ -25,7 +25,7 @@
 impl Scheduler {
     /// Handles a heartbeat and responds to it.
     pub(super) fn on_heartbeat(&mut self, now: Millis, heartbeat: &Heartbeat) {
-        if heartbeat.token > self.token {
+        if self.fencing.is_newer(heartbeat.token) {
             self.effects.push(Effect::Resign(ResignReason::HigherToken));
             return;
         }
@@ -51,8 +51,10 @@
 
     /// Responds to the heartbeat being handled.
     fn respond(&mut self, machine: &str, commands: Vec<Command>) {
-        self.record_commands(machine, CommandRoute::HeartbeatResponse, self.token, &commands);
-        self.effects.push(Effect::Respond(commands));
+        let known = self.inventory.get(machine);
+        let token = known.map_or(self.fencing.term(), |machine| self.fencing.of(machine));
+        self.record_commands(machine, CommandRoute::HeartbeatResponse, token, &commands);
+        self.effects.push(Effect::Respond { token, commands });
     }
 
     /// Registers an unknown machine, from a provision request that was executed late or whose
@@ -60,7 +62,7 @@
     /// heartbeat must carry this term's token: an older one may be a late duplicate from a machine
     /// that no longer exists.
     fn register(&mut self, now: Millis, heartbeat: &Heartbeat) {
-        if heartbeat.token < self.token || self.inventory.contains(&heartbeat.machine) {
+        if self.fencing.is_older(heartbeat.token) || self.inventory.contains(&heartbeat.machine) {
             return;
         }
         let Heartbeat { machine, machine_type, zone, spot, .. } = heartbeat;
@@ -83,7 +85,7 @@
         }
         let is_new_epoch = number.agent_epoch > machine.latest_message.agent_epoch;
         machine.latest_message = number;
-        if heartbeat.token < self.token {
+        if self.fencing.is_older(heartbeat.token) {
             record_address(machine, now, heartbeat);
             self.record_older_token(now, heartbeat);
             return ReconcileOutcome::Ignored;
@@ -106,6 +108,7 @@
         let Some(machine) = self.inventory.get_mut(&heartbeat.machine) else { return };
         let was_up = machine.is_up();
         machine.last_heartbeat_at = Some(now);
+        machine.fencing_token = machine.fencing_token.max(heartbeat.token);
         machine.unanswered_calls = 0;
         machine.addr = Some(heartbeat.addr.clone());
         machine.preempt_at = heartbeat
@@ -201,11 +204,13 @@
             return;
         }
         let job = self.jobs.get_mut(&task.job).filter(|job| task.index < job.spec.tasks);
-        let run = adopt_run(&heartbeat.machine, status, job);
+        let is_of_this_term = self.attempt_numbers.is_of_this_term(attempt);
+        let launch_token = is_of_this_term.then_some(machine.fencing_token);
+        let run = adopt_run(&heartbeat.machine, status, launch_token, job);
         let holds_task = run.stop.is_none();
         machine.runs.insert((task, attempt), run);
         let machine = heartbeat.machine.clone();
-        if self.attempt_numbers.is_of_this_term(attempt) {
+        if is_of_this_term {
             self.decision_counts.forgotten_attempts_reported += 1;
             self.effects.push(Effect::Log(LogEvent::ForgottenAttemptReported {
                 machine: machine.clone(),
--- a/crates/latchtrack-core/src/scheduler/messages.rs
+++ b/crates/latchtrack-core/src/scheduler/messages.rs
@@ -258,13 +258,20 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     /// Respond to the heartbeat being handled.
-    Respond(Vec<Command>),
+    Respond {
+        /// The fencing token of the response.
+        token: u64,
+        /// The commands.
+        commands: Vec<Command>,
+    },
     /// Call a worker directly; [`Event::CallFinished`] must follow.
     CallWorker {
         /// Name of the machine.
         machine: String,
         /// The worker's address.
         addr: String,
+        /// The fencing token of the call.
+        token: u64,
         /// The agent epoch in which the commands are valid.
         agent_epoch: u64,
         /// Id of the call.
--- a/crates/latchtrack-core/src/scheduler/mod.rs
+++ b/crates/latchtrack-core/src/scheduler/mod.rs
@@ -6,8 +6,8 @@
 //! - A machine of an earlier leader is unreconciled until one of its heartbeats carries this term's
 //!   fencing token or the cloud confirms its termination. While any machine is unreconciled, no
 //!   inherited job starts tasks.
-//! - A launch whose direct call was never answered may still be executed later, so its attempt is
-//!   never forgotten within that agent epoch.
+//! - A direct call may be executed at any later time, whether or not it was answered. So an attempt
+//!   is forgotten only by a message with a higher token than every direct call that launched it.
 //!
 //! Each part of the state is a struct in the module that owns it. [`Scheduler::handle`] routes
 //! events to the modules, and `Scheduler::on_tick` lists the steps of a tick.
@@ -27,6 +27,7 @@
 mod failure_attribution;
 mod failure_detector;
 mod fair_share;
+mod fencing;
 mod free_capacity;
 mod gangs;
 mod guarantees;
@@ -68,6 +69,7 @@
 use dispatcher::CommandDispatcher;
 use equivalence_classes::EquivalenceClasses;
 use failure_detector::FailureDetector;
+use fencing::FencingTokens;
 use inventory::{inherited_machine, MachineInventory};
 use load_balancing::LoadBalancing;
 use objectives::ImageLocality;
@@ -88,8 +90,7 @@
 #[derive(Clone)]
 pub struct Scheduler {
     policy: Policy,
-    /// The fencing token of this term.
-    token: u64,
+    fencing: FencingTokens,
     /// Jobs accepted at or after this revision were never launched by an earlier leader.
     leaderless_since: u64,
     term_started_at: Millis,
@@ -141,7 +142,7 @@
             persistence.load_results(&stored);
         }
         Scheduler {
-            token,
+            fencing: FencingTokens::new(token),
             leaderless_since,
             term_started_at: now,
             attempt_numbers: AttemptNumbers::new(token),
@@ -167,9 +168,9 @@
         }
     }
 
-    /// Returns the fencing token of this term.
+    /// Returns the fencing token with which this term began, the revision of its leader key.
     pub fn token(&self) -> u64 {
-        self.token
+        self.fencing.term()
     }
 
     /// Whether all task runs on the machines are known: no command of an earlier leader can still
--- a/crates/latchtrack-core/src/scheduler/persistence.rs
+++ b/crates/latchtrack-core/src/scheduler/persistence.rs
@@ -133,6 +133,15 @@
         self.machine_sets.put(machine.name.to_string(), bytes, Urgency::Urgent);
     }
 
+    /// Schedules a write of a machine, unless a write of a machine set is pending, for the sake of
+    /// its revision. It is not urgent.
+    pub fn request_revision(&mut self, machine: &Machine) {
+        if !self.machine_sets.has_changes() {
+            let bytes = stored_machine(machine).bytes();
+            self.machine_sets.put(machine.name.to_string(), bytes, Urgency::Deferred);
+        }
+    }
+
     /// Schedules the removal of a terminated machine from the stored set.
     pub fn remove_machine(&mut self, name: &str) {
         self.machine_sets.remove(&name.to_string());
@@ -276,8 +285,10 @@
         writes: Vec<RecordWrite>,
         outcome: BatchOutcome,
     ) {
-        if let BatchOutcome::Conflict { jobs, .. } = &outcome {
-            self.mark_closed_elsewhere(jobs);
+        match &outcome {
+            BatchOutcome::Conflict { jobs, .. } => self.mark_closed_elsewhere(jobs),
+            BatchOutcome::Committed(revision) => self.fencing.write_committed(*revision),
+            BatchOutcome::NotExecuted | BatchOutcome::Unknown | BatchOutcome::Rejected => {}
         }
         self.persistence.adapt_batch_size(writes.len(), &outcome);
         match writes.as_slice() {
--- a/crates/latchtrack-core/src/scheduler/task_placement.rs
+++ b/crates/latchtrack-core/src/scheduler/task_placement.rs
@@ -270,7 +270,7 @@
         stop: None,
         launch_sends: 0,
         first_launch_at: 0,
-        launch_outcome_unknown: false,
+        direct_launch_token: None,
         running_since: None,
     }
 }
--- a/crates/latchtrack-core/src/scheduler/task_runs.rs
+++ b/crates/latchtrack-core/src/scheduler/task_runs.rs
@@ -140,7 +140,15 @@
 /// Creates the run for a status that the scheduler does not know, launched by an earlier leader. It
 /// keeps its assignment if its job is open and the task is neither done nor assigned elsewhere;
 /// otherwise it is stopped.
-pub(super) fn adopt_run(machine: &str, status: &TaskStatus, job: Option<&mut Job>) -> TaskRun {
+///
+/// `direct_launch_token` is the highest token of a direct call in this term that may have launched
+/// it.
+pub(super) fn adopt_run(
+    machine: &str,
+    status: &TaskStatus,
+    direct_launch_token: Option<u64>,
+    job: Option<&mut Job>,
+) -> TaskRun {
     let TaskStatus { task, attempt, .. } = *status;
     let spec = job.as_ref().map(|job| job.spec.clone());
     let reason = if job.is_some() { StopReason::NotAssigned } else { StopReason::JobClosed };
@@ -159,7 +167,7 @@
         stop,
         launch_sends: 1,
         first_launch_at: 0,
-        launch_outcome_unknown: false,
+        direct_launch_token,
         running_since: None,
     }
 }
--- a/crates/latchtrack-core/src/task_run.rs
+++ b/crates/latchtrack-core/src/task_run.rs
@@ -115,10 +115,9 @@
     pub launch_sends: u32,
     /// The time at which its launch was first sent.
     pub first_launch_at: Millis,
-    /// Whether a direct call with its launch got no response. The launch may still execute under
-    /// the same agent epoch and this term's token, so the attempt must not be forgotten in this
-    /// agent epoch.
-    pub launch_outcome_unknown: bool,
+    /// The token of the direct call with its launch, if there was one in this term. Copies of the
+    /// call may arrive at any time, and the machine rejects them once it has seen a higher token.
+    pub direct_launch_token: Option<u64>,
     /// The time at which its machine first reported it as running.
     pub running_since: Option<Millis>,
 }
@@ -132,6 +131,11 @@
         self.launch_sends = self.launch_sends.saturating_add(1);
     }
 
+    /// Whether a machine that has seen this token rejects every direct call with its launch.
+    pub fn is_launch_fenced_by(&self, token: u64) -> bool {
+        self.direct_launch_token.is_none_or(|launch_token| launch_token < token)
+    }
+
     /// Whether it still takes capacity on its machine.
     pub fn is_live(&self) -> bool {
         !matches!(self.phase, TaskPhase::Ended(_))
--- a/crates/latchtrack-core/tests/call_copies.rs
+++ b/crates/latchtrack-core/tests/call_copies.rs
@@ -73,13 +73,11 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_failed_attempt_does_not_start_again_beside_its_successor() {
     assert_ended_attempts_stay_ended(array(1), ExitCause::Failed);
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_refused_attempt_does_not_start_once_there_is_room() {
     for cause in
         [ExitCause::InsufficientResources, ExitCause::DuplicateTask, ExitCause::UnknownTask]
@@ -89,7 +87,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_task_of_an_ended_gang_attempt_does_not_start_again() {
     for cause in [ExitCause::GangPeerLost, ExitCause::GangIncomplete] {
         assert_ended_attempts_stay_ended(JobSpec { gang: true, ..array(1) }, cause);
@@ -97,7 +94,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_preempted_attempt_does_not_start_again() {
     let mut cluster = running(array(1));
     cluster.preemption_notices.insert(0, 60.0);
@@ -118,7 +114,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_completed_attempt_whose_result_is_stored_does_not_start_again() {
     let mut cluster = running(array(1));
     cluster.set_phase(1, TaskPhase::Ended(ExitCause::Done), |_| true);
@@ -131,7 +126,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn an_attempt_of_a_cancelled_job_does_not_start_again() {
     let mut cluster = running(array(1));
     cluster.handle_event(Event::JobClosed(JobId(1)));
@@ -143,7 +137,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_copy_before_the_next_leader_has_reached_the_machine_starts_nothing() {
     let mut cluster = running(array(1));
     cluster.set_phase(1, TaskPhase::Ended(ExitCause::Failed), |_| true);
@@ -158,7 +151,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_copy_after_a_leader_came_back_with_the_same_key_starts_nothing() {
     let mut cluster = running(array(1));
     cluster.set_phase(1, TaskPhase::Ended(ExitCause::Failed), |_| true);
--- a/crates/latchtrack-core/tests/common/mod.rs
+++ b/crates/latchtrack-core/tests/common/mod.rs
@@ -144,7 +144,7 @@
 /// Counts the launches in heartbeat responses and direct calls.
 pub fn launches(effects: &[Effect]) -> usize {
     let counts = effects.iter().map(|effect| match effect {
-        Effect::Respond(commands) | Effect::CallWorker { commands, .. } => {
+        Effect::Respond { commands, .. } | Effect::CallWorker { commands, .. } => {
             commands.iter().filter(|command| matches!(command, Command::Launch { .. })).count()
         }
         _ => 0,
--- a/crates/latchtrack-core/tests/common/site.rs
+++ b/crates/latchtrack-core/tests/common/site.rs
@@ -164,12 +164,18 @@
         };
         for effect in self.leader.handle(self.now, event) {
             match effect {
-                Effect::Respond(commands) => {
+                Effect::Respond { token, commands } => {
+                    assert!(token <= self.revision, "a later leader may get {token}");
                     let machine = reporting.clone().expect("only heartbeats are responded to");
-                    self.execute(&machine, &commands);
+                    let i = machine_number(&machine);
+                    let seen = self.tokens.get(&i).copied().unwrap_or(0);
+                    if token >= seen && self.execute(&machine, &commands) {
+                        self.tokens.insert(i, token);
+                    }
                 }
-                Effect::CallWorker { machine, agent_epoch, call, commands, .. } => {
-                    let (i, token) = (machine_number(&machine), self.leader.token());
+                Effect::CallWorker { machine, token, agent_epoch, call, commands, .. } => {
+                    assert!(token <= self.revision, "a later leader may get {token}");
+                    let i = machine_number(&machine);
                     let outcome = self.execute_call(i, token, agent_epoch, &commands);
                     if matches!(outcome, CallOutcome::Executed(_)) {
                         let call = ExecutedCall { machine: i, token, agent_epoch, commands };
--- a/crates/latchtrack-core/tests/failover.rs
+++ b/crates/latchtrack-core/tests/failover.rs
@@ -49,7 +49,7 @@
     let tasks = ended(&scheduler);
     let forgets = |effects: &[Effect]| {
         effects.iter().any(|effect| match effect {
-            Effect::Respond(commands) => {
+            Effect::Respond { commands, .. } => {
                 commands.iter().any(|command| matches!(command, Command::Forget { .. }))
             }
             _ => false,
@@ -190,9 +190,12 @@
         scheduler
             .handle(10_200, Event::WritesFinished { writes, outcome: BatchOutcome::Committed(9) });
         let effects = scheduler.handle(11_000, Event::Heartbeat(heartbeat(0, 4, 7, tasks)));
-        let Some(Effect::Respond(answer)) = effects.first() else { panic!("{effects:?}") };
-        answer.iter().filter(|command| matches!(command, Command::Forget { .. })).count()
+        let Some(Effect::Respond { token, commands }) = effects.first() else {
+            panic!("{effects:?}")
+        };
+        let is_forget = |command: &&Command| matches!(command, Command::Forget { .. });
+        (commands.iter().filter(is_forget).count(), *token)
     };
-    assert_eq!(forgets(false), 8, "only probes went unanswered");
-    assert_eq!(forgets(true), 0, "an unanswered launch may still be executed");
+    assert_eq!(forgets(false), (8, 7), "only probes went unanswered");
+    assert_eq!(forgets(true), (8, 8), "an unanswered launch is rejected from now on");
 }
--- a/crates/latchtrack-core/tests/simulation/call_copies.rs
+++ b/crates/latchtrack-core/tests/simulation/call_copies.rs
@@ -1,7 +1,8 @@
 //! Direct calls that were executed and answered arrive again, up to several worker leases later.
 
-use super::checks::check_runs_with;
+use super::checks::{assert_violation, check_runs_with};
 use super::world::faults::PlannedFault;
+use super::world::guards::DisabledGuard;
 use super::world::size::{Size, BUSY, FLEET, MOVING};
 use PlannedFault::*;
 
@@ -19,7 +20,6 @@
     [("copy of a call rejected", 100), ("copy of a call without effect", 100)];
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_copy_of_a_launch_starts_no_forgotten_attempt_on_a_second_machine() {
     let plan = [
         (10_000, FailTasksOnMachines(0.2)),
@@ -33,7 +33,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_copy_of_a_launch_starts_no_task_of_a_cancelled_job() {
     let plan = [
         (15_000, CancelRunning(10, 0)),
@@ -47,7 +46,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_copy_of_a_launch_exceeds_no_team_limit() {
     let size = Size {
         initial_jobs: 15,
@@ -67,7 +65,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_copy_of_a_launch_starts_no_moved_task() {
     let size = Size { call_copy_probability: 0.9, ..MOVING };
     let plan = [(40_000, CrashNodes(1, 150)), (80_000, HangMachines(0.3, 5_000))];
@@ -75,7 +72,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn a_copy_of_a_launch_starts_no_task_of_an_ended_gang_attempt() {
     let size = Size { gang_probability: 0.8, ..COPIED };
     let plan = [
@@ -88,7 +84,6 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 4"]
 fn copies_of_an_earlier_leaders_calls_arrive_around_leader_changes() {
     let mut plan: Vec<_> = (0..10).map(|i| (10_000 + i * 12_000, CrashNodes(1, 150))).collect();
     plan.extend([
@@ -106,3 +101,30 @@
     let plan = [(30_000, FailTasksOnMachines(0.2)), (50_000, CrashNodes(1, 150))];
     check_runs_with("fleet", size, 0..1, &plan, &COPIES);
 }
+
+#[test]
+fn executing_copies_of_forgotten_launches_is_caught() {
+    let failing = [(10_000, FailTasksOnMachines(0.3)), (60_000, FailTasksOnMachines(0.3))];
+    let cancelled = [
+        (15_000, CancelRunning(10, 0)),
+        (40_000, CancelRunning(10, 0)),
+        (70_000, CancelRunning(10, 0)),
+        (100_000, CancelRunning(10, 0)),
+    ];
+    let zone_lost = [
+        (20_000, FailTasksOnMachines(0.5)),
+        (40_000, LoseZoneMachines(0.5)),
+        (60_000, FailTasksOnMachines(0.5)),
+        (80_000, LoseZoneMachines(0.5)),
+    ];
+    let at_limit = Size { limited_team_cpus: 16.0, ..COPIED };
+    let one_zone = Size { call_copy_probability: 0.9, ..COPIED };
+    for (rule, size, plan) in [
+        ("ran_twice", COPIED, failing.as_slice()),
+        ("ran_cancelled", COPIED, cancelled.as_slice()),
+        ("quota", at_limit, failing.as_slice()),
+        ("wrong_place", one_zone, zone_lost.as_slice()),
+    ] {
+        assert_violation(DisabledGuard::RaisedTokens, rule, size, plan);
+    }
+}
--- a/crates/latchtrack-core/tests/simulation/checks.rs
+++ b/crates/latchtrack-core/tests/simulation/checks.rs
@@ -44,3 +44,18 @@
     }
     terms
 }
+
+/// Asserts that, for some seed, `rule` is reported as broken with the guard disabled.
+pub fn assert_violation(
+    guard: DisabledGuard,
+    rule: &str,
+    size: Size,
+    plan: &[(u64, PlannedFault)],
+) {
+    let is_violated = |seed| {
+        let mut world = World::sized(seed, guard, size).with_planned_faults(plan);
+        world.run();
+        world.violations.iter().any(|v| v.starts_with(rule))
+    };
+    assert!((0..60).any(is_violated), "{guard:?} was never caught as {rule}");
+}
--- a/crates/latchtrack-core/tests/simulation/fault_interactions.rs
+++ b/crates/latchtrack-core/tests/simulation/fault_interactions.rs
@@ -1,11 +1,10 @@
 //! Two faults at once: a test for each combination that has broken rules, or might. They are listed
 //! in docs/fault-interactions.md. Responses to users are tested over real sockets instead.
 
-use super::checks::check_runs_with;
+use super::checks::{assert_violation, check_runs_with};
 use super::world::faults::PlannedFault;
 use super::world::guards::DisabledGuard;
 use super::world::size::{Size, BUSY, FLEET};
-use super::world::World;
 use PlannedFault::*;
 
 /// Enough jobs that tasks are running whenever a fault begins.
@@ -360,16 +359,6 @@
     check_runs_with("fleet", FLEET, 0..1, &plan, &[("cancelled while running", 40)]);
 }
 
-/// Asserts that, for some seed, `rule` is reported as broken with the guard disabled.
-fn assert_violation(guard: DisabledGuard, rule: &str, size: Size, plan: &[(u64, PlannedFault)]) {
-    let is_violated = |seed| {
-        let mut world = World::sized(seed, guard, size).with_planned_faults(plan);
-        world.run();
-        world.violations.iter().any(|v| v.starts_with(rule))
-    };
-    assert!((0..60).any(is_violated), "{guard:?} was never caught as {rule}");
-}
-
 #[test]
 fn not_counting_cancelled_tasks_against_a_limit_is_caught() {
     let plan = [(20_000, PartitionMachines(0.4, 25_000)), (21_000, CancelRunning(10, 12_000))];
--- a/crates/latchtrack-core/tests/simulation/world/effects.rs
+++ b/crates/latchtrack-core/tests/simulation/world/effects.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use super::federation::SharedWrite;
+use super::guards::DisabledGuard;
 use super::messages::{Delivery, DirectCall, Message, Origin, Response};
 use super::World;
 
@@ -23,21 +24,32 @@
     scheduler.balance_summary().map(|summary| summary.counts).unwrap_or_default()
 }
 
+/// A leader's response to a heartbeat.
+pub(super) struct LeaderResponse {
+    pub token: u64,
+    pub commands: Vec<Command>,
+}
+
 impl World {
-    /// Passes an event to a node's scheduler and carries out its effects. Returns the commands of
-    /// the response if the event was a heartbeat that gets one.
-    pub(super) fn process_event(&mut self, n: usize, event: Event) -> Option<Vec<Command>> {
+    /// Passes an event to a node's scheduler and carries out its effects. Returns the response if
+    /// the event was a heartbeat that gets one.
+    pub(super) fn process_event(&mut self, n: usize, event: Event) -> Option<LeaderResponse> {
         let node = &self.nodes[n];
         let origin = Origin { node: n, restarts: node.restarts, token: node.token };
         let effects = self.run_scheduler(n, event)?;
         let mut response = None;
         for effect in effects {
             match effect {
-                Effect::Respond(commands) => response = Some(commands),
-                Effect::CallWorker { machine, agent_epoch, call, commands, .. } => {
+                Effect::Respond { token, commands } => {
+                    let token = self.command_token(origin, token);
+                    response = Some(LeaderResponse { token, commands });
+                }
+                Effect::CallWorker { machine, token, agent_epoch, call, commands, .. } => {
+                    let token = self.command_token(origin, token);
                     self.send_call(DirectCall {
                         origin,
                         worker: machine,
+                        token,
                         agent_epoch,
                         call,
                         commands,
@@ -68,6 +80,18 @@
         response
     }
 
+    /// The token that a command of a leader carries, after checking that no later leader gets it.
+    fn command_token(&mut self, origin: Origin, token: u64) -> u64 {
+        if token < origin.token || token > self.revision {
+            let what = format!("{token} in the term of {}", origin.token);
+            self.report_violation("token", what);
+        }
+        match self.disabled_guard {
+            DisabledGuard::RaisedTokens => origin.token,
+            _ => token,
+        }
+    }
+
     /// Lets the scheduler handle an event, and updates the trace and the statistics. Returns `None`
     /// if the node has no scheduler.
     fn run_scheduler(&mut self, n: usize, event: Event) -> Option<Vec<Effect>> {
--- a/crates/latchtrack-core/tests/simulation/world/guards.rs
+++ b/crates/latchtrack-core/tests/simulation/world/guards.rs
@@ -14,6 +14,9 @@
     LeaderLease,
     /// Writes of machine sets succeed without being stored.
     MachineRecords,
+    /// All commands carry the token with which the term began, so that a worker executes copies of
+    /// direct calls after it has forgotten their attempts.
+    RaisedTokens,
     /// Workers forget ended runs although a direct call may still be open.
     ForgetAfterCalls,
     /// The state service commits writes of deposed leaders, whatever their conditions.
--- a/crates/latchtrack-core/tests/simulation/world/leadership.rs
+++ b/crates/latchtrack-core/tests/simulation/world/leadership.rs
@@ -92,6 +92,9 @@
         self.revision += 1;
         self.stats.terms += 1;
         let token = self.revision;
+        if self.workers.values().any(|worker| worker.token >= token) {
+            self.report_violation("token", format!("a worker has seen {token} before its term"));
+        }
         self.last_token = token;
         let expires_at = self.now + LEADER_LEASE_MS;
         self.leader = Some(LeaderKey { node: n, token, expires_at });
--- a/crates/latchtrack-core/tests/simulation/world/messages.rs
+++ b/crates/latchtrack-core/tests/simulation/world/messages.rs
@@ -7,6 +7,7 @@
 };
 use rand::Rng;
 
+use super::effects::LeaderResponse;
 use super::guards::DisabledGuard;
 use super::state::JobState;
 use super::{World, WORKER_LEASE_MS};
@@ -91,6 +92,7 @@
 pub(super) struct DirectCall {
     pub origin: Origin,
     pub worker: String,
+    pub token: u64,
     pub agent_epoch: u64,
     pub call: CallId,
     pub commands: Vec<Command>,
@@ -224,15 +226,15 @@
             self.post(FAST_RESPONSE_MS, Message::Redirect { worker, id });
             return;
         }
-        let (token, agent_epoch) = (self.nodes[node].token, heartbeat.agent_epoch);
+        let (term_token, agent_epoch) = (self.nodes[node].token, heartbeat.agent_epoch);
         let is_hidden =
-            self.disabled_guard == DisabledGuard::RenewedLeases && heartbeat.token < token;
-        let commands = if is_hidden {
-            Some(Vec::new())
+            self.disabled_guard == DisabledGuard::RenewedLeases && heartbeat.token < term_token;
+        let response = if is_hidden {
+            Some(LeaderResponse { token: term_token, commands: Vec::new() })
         } else {
             self.process_event(node, Event::Heartbeat(heartbeat.clone()))
         };
-        let Some(mut commands) = commands else {
+        let Some(LeaderResponse { token, mut commands }) = response else {
             self.post(FAST_RESPONSE_MS, Message::Redirect { worker, id });
             return;
         };
@@ -315,10 +317,10 @@
             return;
         }
         worker.sequence += 1;
-        let is_valid = direct_call.origin.token >= worker.token
-            && direct_call.agent_epoch == worker.agent_epoch;
+        let is_valid =
+            direct_call.token >= worker.token && direct_call.agent_epoch == worker.agent_epoch;
         if is_valid {
-            worker.token = direct_call.origin.token;
+            worker.token = direct_call.token;
             self.execute_call(&direct_call);
         } else if direct_call.delivery == Delivery::Copy {
             self.record_occurrence("copy of a call rejected");
--- a/crates/latchtrack-core/tests/simulation/world/trace.rs
+++ b/crates/latchtrack-core/tests/simulation/world/trace.rs
@@ -71,9 +71,12 @@
 
 fn describe_effect(effect: &Effect) -> String {
     match effect {
-        Effect::Respond(commands) => format!("answer{}", describe_commands(commands)),
-        Effect::CallWorker { machine, addr, agent_epoch, call, commands } => {
-            format!("call {machine} {addr} {agent_epoch} {call}{}", describe_commands(commands))
+        Effect::Respond { token, commands } => {
+            format!("answer {token}{}", describe_commands(commands))
+        }
+        Effect::CallWorker { machine, addr, token, agent_epoch, call, commands } => {
+            let commands = describe_commands(commands);
+            format!("call {machine} {addr} {token} {agent_epoch} {call}{commands}")
         }
         Effect::Provision { request_id, offer, number } => {
             format!(
--- a/crates/latchtrack-core/tests/worker_leases.rs
+++ b/crates/latchtrack-core/tests/worker_leases.rs
@@ -80,7 +80,7 @@
         let mut response = None;
         for effect in effects {
             match effect {
-                Effect::Respond(commands) => {
+                Effect::Respond { commands, .. } => {
                     self.record_launches(&commands);
                     response = Some(commands);
                 }
--- a/crates/latchtrack-core/tests/zones.rs
+++ b/crates/latchtrack-core/tests/zones.rs
@@ -238,7 +238,7 @@
     let effects = fleet.scheduler.handle(fleet.now, Event::Heartbeat(held));
     assert!(!effects
         .iter()
-        .any(|effect| matches!(effect, Effect::Respond(commands) if !commands.is_empty())));
+        .any(|effect| matches!(effect, Effect::Respond { commands, .. } if !commands.is_empty())));
     assert_eq!(fleet.runs(1), 0);
 }
 
--- a/crates/latchtrack/src/actors/scheduler_driver/effects.rs
+++ b/crates/latchtrack/src/actors/scheduler_driver/effects.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use actix::prelude::*;
-use latchtrack_core::machine::Command;
 use latchtrack_core::scheduler::{
     CallOutcome, Effect, Event, LogEvent, ProvisionOutcome, TerminateOutcome,
 };
@@ -13,25 +12,28 @@
 use crate::actors::messages::cloud::CloudRequest;
 use crate::actors::messages::election::Resign;
 use crate::actors::messages::quota::ChangeLedger;
-use crate::actors::messages::scheduler::SchedulerEvent;
+use crate::actors::messages::scheduler::{HeartbeatResponse, SchedulerEvent};
 use crate::clock::now_ms;
 use crate::constants::NOT_EXECUTED_DELAY_MS;
+use crate::wire::workers::{CommandDto, DirectCall};
 
 impl SchedulerDriver {
-    /// Passes an event to the scheduler and executes the resulting effects. Returns the commands
-    /// for the worker if the event was a heartbeat that the scheduler answers.
+    /// Passes an event to the scheduler and executes the resulting effects. Returns the response if
+    /// the event was a heartbeat that the scheduler answers.
     pub(super) fn handle_event(
         &mut self,
         event: Event,
         ctx: &mut Context<Self>,
-    ) -> Option<Vec<Command>> {
+    ) -> Option<HeartbeatResponse> {
         let effects = self.scheduler.as_mut()?.handle(now_ms(), event);
         // Without a valid lease, events are still processed, but effects that need it are declined.
         let may_act = self.may_act();
         let mut response = None;
         for effect in effects {
             match effect {
-                Effect::Respond(commands) => response = Some(commands),
+                Effect::Respond { token, commands } => {
+                    response = Some(HeartbeatResponse::Commands { token, commands });
+                }
                 effect if may_act => self.execute(effect, ctx),
                 effect => self.decline(effect, ctx),
             }
@@ -43,8 +45,10 @@
     fn execute(&mut self, effect: Effect, ctx: &mut Context<Self>) {
         let token = self.term.token();
         match effect {
-            Effect::CallWorker { machine, addr, agent_epoch, call, commands } => {
-                self.call_worker(machine, &addr, agent_epoch, call, &commands, ctx);
+            Effect::CallWorker { machine, addr, token, agent_epoch, call, commands } => {
+                let commands = commands.iter().map(CommandDto::from).collect();
+                let body = DirectCall { token, agent_epoch, commands };
+                self.call_worker(machine, &addr, call, &body, ctx);
             }
             Effect::Provision { request_id, offer, number } => {
                 self.cloud.do_send(CloudRequest::Provision { token, request_id, offer, number });
@@ -96,7 +100,7 @@
             Effect::Log(LogEvent::Decision(decision)) => tracing::debug!("{decision}"),
             Effect::Log(event) => tracing::info!("{event}"),
             // Handled by the callers.
-            Effect::Respond(_)
+            Effect::Respond { .. }
             | Effect::CallWorker { .. }
             | Effect::Provision { .. }
             | Effect::Terminate(_)
--- a/crates/latchtrack/src/actors/scheduler_driver/mod.rs
+++ b/crates/latchtrack/src/actors/scheduler_driver/mod.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use actix::prelude::*;
-use latchtrack_core::machine::{Command, MachineType};
+use latchtrack_core::machine::MachineType;
 use latchtrack_core::scheduler::{Event, Policy, Scheduler};
 
 use self::heartbeat_routing::HeartbeatRouter;
@@ -161,16 +161,11 @@
         if !self.may_act() {
             return HeartbeatResponse::NotReady;
         }
-        let token = self.term.token();
         let event = match msg.route {
             HeartbeatRoute::Forwarded => Event::RelayedHeartbeat(msg.heartbeat),
             HeartbeatRoute::Direct => Event::Heartbeat(msg.heartbeat),
         };
-        let commands: Option<Vec<Command>> = self.handle_event(event, ctx);
-        commands.map_or(HeartbeatResponse::NotReady, |commands| HeartbeatResponse::Commands {
-            token,
-            commands,
-        })
+        self.handle_event(event, ctx).unwrap_or(HeartbeatResponse::NotReady)
     }
 }
 
--- a/crates/latchtrack/src/actors/scheduler_driver/worker_calls.rs
+++ b/crates/latchtrack/src/actors/scheduler_driver/worker_calls.rs
@@ -2,13 +2,12 @@
 
 use actix::prelude::*;
 use actix_web::http::StatusCode;
-use latchtrack_core::machine::Command;
 use latchtrack_core::scheduler::{CallId, CallOutcome, Event};
 
 use super::SchedulerDriver;
 use crate::constants::CALL_TIMEOUT;
 use crate::net::{read_response, CallError};
-use crate::wire::workers::{parse_heartbeat, CommandDto, DirectCall};
+use crate::wire::workers::{parse_heartbeat, DirectCall};
 
 impl SchedulerDriver {
     /// Sends commands to the address of a worker, and reports the outcome to the scheduler.
@@ -16,20 +15,18 @@
         &self,
         machine: String,
         addr: &str,
-        agent_epoch: u64,
         call: CallId,
-        commands: &[Command],
+        body: &DirectCall,
         ctx: &mut Context<Self>,
     ) {
-        let token = self.term.token();
-        let commands = commands.iter().map(CommandDto::from).collect();
-        let body = DirectCall { token, agent_epoch, commands };
+        let term_token = self.term.token();
+        let call_token = body.token;
         // Calls to one worker are rare, and an idle connection to each would occupy a socket.
         let request = self.client.post(format!("http://{addr}/do")).force_close();
-        let sent = request.timeout(CALL_TIMEOUT).send_json(&body);
+        let sent = request.timeout(CALL_TIMEOUT).send_json(body);
         ctx.spawn(read_response(sent).into_actor(self).map(move |result, act, ctx| {
             // The call belongs to an earlier term and is unknown to the current scheduler.
-            if act.term.token() != token {
+            if act.term.token() != term_token {
                 return;
             }
             let outcome = if act.may_act() {
@@ -38,7 +35,7 @@
                 // Without a valid lease, the response is treated as lost.
                 CallOutcome::NoAnswer
             };
-            tracing::debug!(machine, %call, token, outcome = outcome.name(), "direct call finished");
+            tracing::debug!(machine, %call, token = call_token, outcome = outcome.name(), "direct call finished");
             act.handle_event(Event::CallFinished { machine, call, outcome }, ctx);
         }));
     }
--- a/crates/latchtrack/src/wire/workers.rs
+++ b/crates/latchtrack/src/wire/workers.rs
@@ -139,7 +139,7 @@
 /// The leader's response to a heartbeat.
 #[derive(Serialize)]
 pub struct HeartbeatAnswer {
-    /// Fencing token of the leader's term.
+    /// Fencing token of the leader for this worker.
     #[serde(rename = "baton")]
     pub token: u64,
     /// Commands to execute in order.
@@ -150,7 +150,7 @@
 /// A call from the leader to a worker, outside of heartbeats.
 #[derive(Serialize)]
 pub struct DirectCall {
-    /// Fencing token of the leader's term.
+    /// Fencing token of the leader for this worker.
     #[serde(rename = "baton")]
     pub token: u64,
     /// Agent epoch that the commands apply to; a worker with another epoch refuses them.
