Emulator: workers receive copies of executed direct calls

Tests over real sockets could lose calls, but none arrived twice. The fleet now repeats executed calls with a given probability and delay, counts what machines do with the copies, and does so in the spread and race experiments with faults.

--- a/crates/latchtrack-emulator/src/fleet/heartbeats.rs
+++ b/crates/latchtrack-emulator/src/fleet/heartbeats.rs
@@ -92,6 +92,15 @@
         Some((StatusCode::OK, self.next_heartbeat(&name)?))
     }
 
+    /// Executes a copy of a direct call, unless the machine rejects it.
+    pub(super) fn on_direct_copy(&mut self, addr: &str, body: &Value) {
+        match self.on_direct_call(addr, body) {
+            Some((StatusCode::OK, _)) => self.history.call_copies.executed += 1,
+            Some(_) => self.history.call_copies.rejected += 1,
+            None => {}
+        }
+    }
+
     /// Processes the response to a heartbeat; `None` if the request failed. A partitioned machine
     /// does not get the response.
     pub(super) fn on_response(
--- a/crates/latchtrack-emulator/src/fleet/mod.rs
+++ b/crates/latchtrack-emulator/src/fleet/mod.rs
@@ -23,7 +23,7 @@
 use crate::{lock, Shared};
 use heartbeats::{HeartbeatResponse, OutgoingHeartbeat};
 use machine::Machine;
-pub use settings::{FleetSettings, JobProfile, NodeEndpoint};
+pub use settings::{CallCopyFault, FleetSettings, JobProfile, NodeEndpoint};
 
 /// CPUs of a machine in the emulated cloud.
 pub const MACHINE_CPUS: f64 = 8.0;
@@ -152,6 +152,13 @@
         self.rng.random_bool(probability)
     }
 
+    /// Draws the ms until a copy of an executed call arrives; `None` if there is no copy.
+    fn copy_delay_ms(&mut self) -> Option<u64> {
+        let CallCopyFault { probability, max_delay_ms } = self.settings.call_copies;
+        let has_copy = self.rng.random_bool(probability);
+        has_copy.then(|| self.rng.random_range(1..max_delay_ms))
+    }
+
     fn profile_of(&self, task: &str) -> JobProfile {
         self.profiles.get(AttemptKey::job_of(task)).cloned().unwrap_or_default()
     }
--- a/crates/latchtrack-emulator/src/fleet/server.rs
+++ b/crates/latchtrack-emulator/src/fleet/server.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use actix_web::http::StatusCode;
 use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
 use serde_json::Value;
 
@@ -46,8 +47,12 @@
         return no_response();
     };
     actix_web::rt::time::sleep(Duration::from_millis(wait_ms)).await;
+    let shared_fleet = fleet.get_ref().clone();
     let mut fleet = lock(&fleet);
     let outcome = fleet.on_direct_call(&addr, &body);
+    if let (Some((StatusCode::OK, _)), Some(delay_ms)) = (&outcome, fleet.copy_delay_ms()) {
+        actix_web::rt::spawn(deliver_copy(shared_fleet, addr, body.into_inner(), delay_ms));
+    }
     match outcome {
         Some((status, heartbeat)) if wait_ms == 0 && !fleet.loses_response() => {
             HttpResponse::build(status).json(heartbeat)
@@ -56,6 +61,16 @@
     }
 }
 
+/// Delivers a copy of an executed direct call, whose answer nobody reads.
+async fn deliver_copy(fleet: Shared<FleetState>, addr: String, body: Value, delay_ms: u64) {
+    actix_web::rt::time::sleep(Duration::from_millis(delay_ms)).await;
+    let wait_ms = lock(&fleet).delivery_delay_ms(&addr);
+    if let Some(wait_ms) = wait_ms {
+        actix_web::rt::time::sleep(Duration::from_millis(wait_ms)).await;
+        lock(&fleet).on_direct_copy(&addr, &body);
+    }
+}
+
 async fn probe(fleet: web::Data<Shared<FleetState>>, request: HttpRequest) -> HttpResponse {
     let addr = request.app_config().local_addr().to_string();
     let mut fleet = lock(&fleet);
--- a/crates/latchtrack-emulator/src/fleet/settings.rs
+++ b/crates/latchtrack-emulator/src/fleet/settings.rs
@@ -26,10 +26,21 @@
     pub fetch_ms: u64,
     /// Probability that the response to a heartbeat or a direct call is lost.
     pub response_loss: f64,
+    /// Copies of direct calls.
+    pub call_copies: CallCopyFault,
     /// Endpoints of the nodes.
     pub nodes: Vec<NodeEndpoint>,
 }
 
+/// Direct calls that arrive once more after they were executed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallCopyFault {
+    /// Probability that an executed call arrives once more.
+    pub probability: f64,
+    /// Maximum delay of the copy after the call, ms; at least 2.
+    pub max_delay_ms: u64,
+}
+
 /// How the tasks of a job behave on a worker.
 #[derive(Clone, Debug, Default)]
 pub struct JobProfile {
--- a/crates/latchtrack-emulator/src/history.rs
+++ b/crates/latchtrack-emulator/src/history.rs
@@ -28,6 +28,15 @@
     pub event: TaskEvent,
 }
 
+/// Copies of direct calls that reached a machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallCopies {
+    /// Copies that the machine executed.
+    pub executed: usize,
+    /// Copies that the machine rejected because of their token or agent epoch.
+    pub rejected: usize,
+}
+
 /// A sample of the machines' loads. A load is the fraction of a machine's CPUs in use.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadSample {
@@ -86,6 +95,8 @@
     pub entries: Vec<HistoryEntry>,
     /// Loads of the machines, sampled once per second.
     pub loads: Vec<LoadSample>,
+    /// Copies of direct calls so far.
+    pub call_copies: CallCopies,
 }
 
 impl History {
--- a/crates/latchtrack-emulator/src/race/cell.rs
+++ b/crates/latchtrack-emulator/src/race/cell.rs
@@ -8,7 +8,7 @@
 
 use super::outcome::SubmittedJob;
 use super::{RaceOptions, GUARANTEE_CPUS, LIMIT_CPUS};
-use crate::fleet::{self, FleetSettings, FleetState, JobProfile, NodeEndpoint};
+use crate::fleet::{self, CallCopyFault, FleetSettings, FleetState, JobProfile, NodeEndpoint};
 use crate::site::{site_with_state, Site};
 use crate::state::StateService;
 use crate::{lock, Shared};
@@ -21,6 +21,9 @@
 const WORKER_LEASE_MS: u64 = 2_000;
 /// Probability that a response to a worker is lost in a race with faults.
 const RESPONSE_LOSS: f64 = 0.01;
+/// Copies of direct calls in a race with faults.
+const CALL_COPIES: CallCopyFault =
+    CallCopyFault { probability: 0.3, max_delay_ms: 3 * WORKER_LEASE_MS };
 
 /// Returns the name of the cell with this index.
 pub(super) fn cell_name(cell: usize) -> String {
@@ -80,6 +83,7 @@
             boot_ms: 200,
             fetch_ms: 50,
             response_loss: if options.faults { RESPONSE_LOSS } else { 0.0 },
+            call_copies: if options.faults { CALL_COPIES } else { CallCopyFault::default() },
             nodes: nodes
                 .map(|(name, url)| NodeEndpoint { name: name.into(), url: url.clone() })
                 .collect(),
--- a/crates/latchtrack-emulator/src/spread.rs
+++ b/crates/latchtrack-emulator/src/spread.rs
@@ -13,7 +13,9 @@
 
 use crate::client::{get, post};
 use crate::error::ExperimentError;
-use crate::fleet::{self, FleetSettings, FleetState, JobProfile, NodeEndpoint, MACHINE_CPUS};
+use crate::fleet::{
+    self, CallCopyFault, FleetSettings, FleetState, JobProfile, NodeEndpoint, MACHINE_CPUS,
+};
 use crate::history::{History, LoadSample};
 use crate::site::{site, Site};
 use crate::{lock, Shared};
@@ -30,6 +32,8 @@
 const SHORT_FAULT_MS: u64 = 3_000;
 /// Probability that a response to a worker is lost in a run with faults.
 const RESPONSE_LOSS: f64 = 0.01;
+/// Copies of direct calls in a run with faults.
+const CALL_COPIES: CallCopyFault = CallCopyFault { probability: 0.3, max_delay_ms: 30_000 };
 /// Number of tasks of a job of a hot team.
 const HOT_JOB_TASKS: usize = 40;
 /// Time that a task of a hot team takes to save a checkpoint, ms.
@@ -197,6 +201,7 @@
         let nodes = names.into_iter().zip(urls);
         let nodes: Vec<NodeEndpoint> =
             nodes.map(|(name, url)| NodeEndpoint { name, url }).collect();
+        let has_faults = options.faults != FaultScope::None;
         let fleet = fleet::start(
             FleetSettings {
                 seed: options.seed,
@@ -205,10 +210,8 @@
                 lease_ms: 10_000,
                 boot_ms: 300,
                 fetch_ms: 400,
-                response_loss: match options.faults {
-                    FaultScope::None => 0.0,
-                    FaultScope::Machines | FaultScope::MachinesAndLeader => RESPONSE_LOSS,
-                },
+                response_loss: if has_faults { RESPONSE_LOSS } else { 0.0 },
+                call_copies: if has_faults { CALL_COPIES } else { CallCopyFault::default() },
                 nodes: nodes.clone(),
             },
             site.cloud.clone(),
--- a/crates/latchtrack-emulator/tests/history.rs
+++ b/crates/latchtrack-emulator/tests/history.rs
@@ -10,7 +10,7 @@
 
 fn history(entries: &[HistoryEntry]) -> History {
     let at = |(i, entry): (usize, &HistoryEntry)| HistoryEntry { at_ms: i as u64, ..entry.clone() };
-    History { entries: entries.iter().enumerate().map(at).collect(), loads: Vec::new() }
+    History { entries: entries.iter().enumerate().map(at).collect(), ..History::default() }
 }
 
 #[test]
--- a/crates/latchtrack-emulator/tests/spread.rs
+++ b/crates/latchtrack-emulator/tests/spread.rs
@@ -53,4 +53,6 @@
     assert_eq!(outcome.history.duplicate_runs(), Vec::<String>::new(), "{:#?}", outcome.faults);
     assert_eq!(outcome.unfinished, Vec::<String>::new(), "{:#?}", outcome.faults);
     assert!(outcome.faults.len() >= 4, "{:?}", outcome.faults);
+    let copies = outcome.history.call_copies;
+    assert!(copies.executed + copies.rejected >= 10, "{copies:?}");
 }
