Simulation: calls to workers arrive again in all runs, and change no decision

A copy that changes no task leaves no trace in a run, neither in its random numbers nor in the time of the next heartbeat, as a worker reports only changes; so all seeds give the same runs as before, and a new test asserts that runs with and without copies decide alike.

--- a/crates/latchtrack-core/tests/simulation/call_copies.rs
+++ b/crates/latchtrack-core/tests/simulation/call_copies.rs
@@ -4,6 +4,8 @@
 use super::world::faults::PlannedFault;
 use super::world::guards::DisabledGuard;
 use super::world::size::{Size, BUSY, FLEET, MOVING};
+use super::world::trace::DecisionTrace;
+use super::world::World;
 use PlannedFault::*;
 
 /// Most direct calls arrive again, half of these more than once.
@@ -102,6 +104,24 @@
     check_runs_with("fleet", size, 0..1, &plan, &COPIES);
 }
 
+#[test]
+fn copies_of_calls_change_no_decision() {
+    let digest = |seed, call_copy_probability| {
+        let size = Size { call_copy_probability, ..COPIED };
+        let plan = [(20_000, FailTasksOnMachines(0.2)), (40_000, CrashNodes(1, 150))];
+        let mut world = World::sized(seed, DisabledGuard::None, size).with_planned_faults(&plan);
+        world.trace = Some(DecisionTrace::default());
+        world.run();
+        let copies = world.occurrences.get("copy of a call without effect").copied();
+        (world.trace.map(|trace| trace.digest()), copies.unwrap_or(0))
+    };
+    for seed in 0..6 {
+        let ((with, copies), (without, _)) = (digest(seed, 0.9), digest(seed, 0.0));
+        assert_eq!(with, without, "seed {seed}");
+        assert!(copies > 10, "seed {seed}: {copies} copies");
+    }
+}
+
 #[test]
 fn executing_copies_of_forgotten_launches_is_caught() {
     let failing = [(10_000, FailTasksOnMachines(0.3)), (60_000, FailTasksOnMachines(0.3))];
--- a/crates/latchtrack-core/tests/simulation/world/messages.rs
+++ b/crates/latchtrack-core/tests/simulation/world/messages.rs
@@ -346,17 +346,29 @@
     /// Executes a direct call on its worker. Copies of it may arrive again.
     fn execute_call(&mut self, direct_call: &DirectCall) {
         let DirectCall { worker, commands, delivery, .. } = direct_call;
-        let attempts = self.workers.get(worker).map_or(0, |worker| worker.tasks.len());
+        if *delivery == Delivery::Copy {
+            self.execute_copy(worker, commands);
+            return;
+        }
         self.execute(worker, commands);
-        let launched = self.workers.get(worker).map_or(0, |worker| worker.tasks.len()) > attempts;
-        match delivery {
-            Delivery::Copy if launched => self.record_occurrence("copy of a call launched a task"),
-            Delivery::Copy => self.record_occurrence("copy of a call without effect"),
-            Delivery::InTime | Delivery::Late => {
-                let is_late = *delivery == Delivery::Late;
-                self.stats.late_commands += u64::from(is_late && !commands.is_empty());
-                self.post_copies(direct_call);
-            }
+        let is_late = *delivery == Delivery::Late;
+        self.stats.late_commands += u64::from(is_late && !commands.is_empty());
+        self.post_copies(direct_call);
+    }
+
+    /// Executes a copy of a direct call. It leaves no trace in the run if it changes no task.
+    fn execute_copy(&mut self, name: &str, commands: &[Command]) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let (tasks, next_heartbeat) = (worker.tasks.clone(), worker.next_heartbeat);
+        std::mem::swap(&mut self.rng, &mut self.copies_rng);
+        self.execute(name, commands);
+        std::mem::swap(&mut self.rng, &mut self.copies_rng);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.tasks == tasks {
+            worker.next_heartbeat = next_heartbeat;
+            self.record_occurrence("copy of a call without effect");
+        } else {
+            self.record_occurrence("copy of a call changed a task");
         }
     }
 
--- a/crates/latchtrack-core/tests/simulation/world/state.rs
+++ b/crates/latchtrack-core/tests/simulation/world/state.rs
@@ -64,6 +64,7 @@
 pub(super) type AttemptKey = (TaskId, u64);
 
 /// An attempt of a task on a worker.
+#[derive(Clone, PartialEq)]
 pub(super) struct WorkerTask {
     pub phase: TaskPhase,
     /// When the phase ends.
