Split the responses to heartbeats from the dispatcher, and the handling of unanswered calls

dispatcher.rs held both the commands of direct calls and those of responses to heartbeats; the latter are a module of their own now. The two outcomes of calls without an answer share one function.

--- a/crates/latchtrack-core/src/scheduler/direct_calls.rs
+++ b/crates/latchtrack-core/src/scheduler/direct_calls.rs
@@ -105,39 +105,39 @@
         self.dispatcher.wake(name);
         match outcome {
             CallOutcome::Executed(heartbeat) => {
-                self.failure_detector.worker_reached_directly();
                 machine.unanswered_calls = 0;
                 self.reconcile_answer(now, name, &heartbeat);
             }
+            CallOutcome::Rejected(heartbeat) if self.fencing.is_newer(heartbeat.token) => {
+                self.decision_counts.rejected_calls += 1;
+                self.effects.push(Effect::Resign(ResignReason::HigherToken));
+                return;
+            }
             CallOutcome::Rejected(heartbeat) => {
-                self.failure_detector.worker_reached_directly();
                 self.decision_counts.rejected_calls += 1;
-                if self.fencing.is_newer(heartbeat.token) {
-                    self.effects.push(Effect::Resign(ResignReason::HigherToken));
-                    return;
-                }
                 // Not executed: its launches are sent again in the next heartbeat response.
                 machine.unanswered_calls = 0;
                 let is_new_epoch = heartbeat.agent_epoch > machine.latest_message.agent_epoch;
                 machine.next_call_at = if is_new_epoch { now } else { now + CALL_BACKOFF_MS };
                 self.reconcile_answer(now, name, &heartbeat);
             }
-            CallOutcome::NotSent => {
-                self.failure_detector.call_unanswered(&machine.zone);
-                machine.unanswered_calls += 1;
-                machine.next_call_at = now + NOT_SENT_BACKOFF_MS;
-            }
-            CallOutcome::NoAnswer => {
-                self.failure_detector.call_unanswered(&machine.zone);
-                machine.unanswered_calls += 1;
-                machine.next_call_at = now + CALL_BACKOFF_MS;
-            }
+            CallOutcome::NotSent => self.on_call_unanswered(name, now + NOT_SENT_BACKOFF_MS),
+            CallOutcome::NoAnswer => self.on_call_unanswered(name, now + CALL_BACKOFF_MS),
         }
         self.dispatch(now, None);
     }
 
+    /// Counts a call without an answer against its machine, which gets no other before `next_at`.
+    fn on_call_unanswered(&mut self, name: &str, next_at: Millis) {
+        let Some(machine) = self.inventory.get_mut(name) else { return };
+        machine.unanswered_calls += 1;
+        machine.next_call_at = next_at;
+        self.failure_detector.call_unanswered(&machine.zone);
+    }
+
     /// Reconciles the heartbeat in a worker's answer, unless another machine now has that address.
     fn reconcile_answer(&mut self, now: Millis, machine: &str, heartbeat: &Heartbeat) {
+        self.failure_detector.worker_reached_directly();
         if heartbeat.machine == machine {
             self.reconcile(now, heartbeat);
         }
--- a/crates/latchtrack-core/src/scheduler/mod.rs
+++ b/crates/latchtrack-core/src/scheduler/mod.rs
@@ -31,6 +31,7 @@
 mod free_capacity;
 mod gangs;
 mod guarantees;
+mod heartbeat_response;
 mod heartbeats;
 mod inventory;
 mod load_balancing;
