--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -973,6 +973,10 @@
     /// Names of nodes, to report to.
     target: usize,
     changed: bool,
+    /// When the cloud takes it away, if a notice was given.
+    taken_at: Option<Instant>,
+    /// Whether it fails every task that it starts.
+    sick: bool,
 }
 
 #[derive(Default)]
@@ -995,6 +999,8 @@
     report_copies: f64,
     /// Share of the commands that are carried out at once and answered seconds later.
     slow_answers: f64,
+    /// Share of the cloud's calls that get no answer and are carried out late.
+    late_cloud: f64,
     dice: u64,
 }
 
@@ -1078,6 +1084,25 @@
         self.record.line(&format!("machines {names:?}: {trouble:?}"));
         names
     }
+    /// Gives notice that the cloud takes a machine away in so many s.
+    pub fn take(&self, name: &str, notice_s: f64) {
+        self.record.line(&format!("{name}: is taken in {notice_s} s"));
+        if let Some(machine) = self.inner.lock().unwrap().machines.get_mut(name) {
+            machine.taken_at = Some(Instant::now() + Duration::from_secs_f64(notice_s));
+            machine.changed = true;
+        }
+    }
+    /// Makes a machine fail all tasks that it starts, or ends that.
+    pub fn sick(&self, name: &str, on: bool) {
+        self.record.line(&format!("{name}: fails its tasks: {on}"));
+        if let Some(machine) = self.inner.lock().unwrap().machines.get_mut(name) {
+            machine.sick = on;
+        }
+    }
+    /// Share of the cloud's calls that get no answer and are carried out seconds later.
+    pub fn late_cloud(&self, share: f64) {
+        self.inner.lock().unwrap().late_cloud = share;
+    }
     /// The machines on which tasks of a job are.
     pub fn machines_of(&self, id: &str) -> Vec<String> {
         let prefix = format!("{id}/");
@@ -1121,6 +1146,12 @@
             if machine.gone || machine.trouble == Trouble::Dead {
                 continue;
             }
+            if machine.taken_at.is_some_and(|at| now >= at) {
+                self.record.line(&format!("{name}: taken by the cloud"));
+                machine.gone = true;
+                machine.runs.clear();
+                continue;
+            }
             if machine.addr.is_none() {
                 if now >= machine.up_at {
                     boots.push(name.clone());
@@ -1161,8 +1192,12 @@
                         let job = run.piece.split('/').next().unwrap_or("");
                         let run_s = world.jobs.get(job).map_or(1.0, |job| job.run_s);
                         run.left = if world.results.contains(&run.piece) { 0.0 } else { run_s };
+                        if machine.sick {
+                            run.left = run.left.min(0.3);
+                        }
                         started.push((run.piece.clone(), run.attempt));
                     }
+                    Phase::Running if machine.sick => run.phase = Phase::Ended("error", false),
                     Phase::Running => {
                         run.phase = Phase::Ended("done", false);
                         world.results.insert(run.piece.clone());
@@ -1304,7 +1339,12 @@
             ("shift", int(machine.shift)),
             ("tally", int(machine.tally)),
             ("baton", int(machine.baton)),
-            ("recall_s", Json::Null),
+            (
+                "recall_s",
+                machine.taken_at.map_or(Json::Null, |at| {
+                    num(at.saturating_duration_since(Instant::now()).as_secs_f64())
+                }),
+            ),
             ("pieces", Json::List(pieces)),
         ])
     }
@@ -1590,6 +1630,27 @@
     }
 
     fn cloud_request(&self, request: &Request) -> Reply {
+        let late = {
+            let mut world = self.inner.lock().unwrap();
+            (world.roll() < world.late_cloud).then(|| 0.5 + 15.0 * world.roll())
+        };
+        if let Some(late_s) = late {
+            let world = self.clone();
+            let request = Request {
+                method: request.method.clone(),
+                path: request.path.clone(),
+                body: request.body.clone(),
+            };
+            thread::spawn(move || {
+                thread::sleep(Duration::from_secs_f64(late_s));
+                world.cloud_answer(&request);
+            });
+            return Reply::Silent;
+        }
+        self.cloud_answer(request)
+    }
+
+    fn cloud_answer(&self, request: &Request) -> Reply {
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         let mut world = self.inner.lock().unwrap();
         if world.fail_calls {
@@ -1657,6 +1718,8 @@
                             images: HashMap::new(),
                             target,
                             changed: true,
+                            taken_at: None,
+                            sick: false,
                         },
                     );
                     names.push(name);
