--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -11,7 +11,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -282,9 +282,10 @@
 }
 
 fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    head.lines().skip(1).filter_map(|l| l.split_once(':')).find_map(|(n, v)| {
-        n.trim().eq_ignore_ascii_case(name).then(|| v.trim())
-    })
+    head.lines()
+        .skip(1)
+        .filter_map(|l| l.split_once(':'))
+        .find_map(|(n, v)| n.trim().eq_ignore_ascii_case(name).then(|| v.trim()))
 }
 
 fn read_exactly(stream: &mut TcpStream, rest: &mut Vec<u8>, n: usize) -> Option<Vec<u8>> {
@@ -391,7 +392,13 @@
 }
 
 /// Sends a request on a new connection; `None` if no answer comes within `limit`.
-pub fn call(to: SocketAddr, method: &str, path: &str, body: &str, limit: Duration) -> Option<Answer> {
+pub fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    limit: Duration,
+) -> Option<Answer> {
     let deadline = Instant::now() + limit;
     let mut stream = TcpStream::connect_timeout(&to, limit).ok()?;
     let _ = stream.set_nodelay(true);
@@ -609,7 +616,11 @@
 
     /// Begins or ends an outage for all nodes.
     pub fn outage(&self, on: bool) {
-        self.record.line(if on { "state service: outage begins" } else { "state service: outage ends" });
+        self.record.line(if on {
+            "state service: outage begins"
+        } else {
+            "state service: outage ends"
+        });
         if !on {
             let mut store = self.store.lock().unwrap();
             for lease in store.leases.values_mut() {
@@ -910,6 +921,9 @@
     pub cancel_s: f64,
 }
 
+/// s for which a task of a gang waits for the others, as in the settings that the nodes get.
+const GANG_WAIT_S: f64 = 30.0;
+
 /// What a machine's network and processor do.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Trouble {
@@ -929,6 +943,8 @@
 #[derive(Clone, Copy, PartialEq, Debug)]
 enum Phase {
     Pulling,
+    /// A task of a gang that waits for the others of its attempt.
+    Waiting,
     Running,
     Flushing,
     Ended(&'static str, bool),
@@ -946,7 +962,7 @@
 
 impl Run {
     fn on_machine(&self) -> bool {
-        matches!(self.phase, Phase::Running | Phase::Flushing)
+        matches!(self.phase, Phase::Waiting | Phase::Running | Phase::Flushing)
     }
     fn live(&self) -> bool {
         !matches!(self.phase, Phase::Ended(..))
@@ -977,6 +993,8 @@
     taken_at: Option<Instant>,
     /// Whether it fails every task that it starts.
     sick: bool,
+    /// How many times longer its tasks run.
+    slow: f64,
 }
 
 #[derive(Default)]
@@ -1099,6 +1117,13 @@
             machine.sick = on;
         }
     }
+    /// Makes the tasks of a machine run so many times longer; 1 ends that.
+    pub fn slow(&self, name: &str, factor: f64) {
+        self.record.line(&format!("{name}: its tasks run {factor} times as long"));
+        if let Some(machine) = self.inner.lock().unwrap().machines.get_mut(name) {
+            machine.slow = factor;
+        }
+    }
     /// Share of the cloud's calls that get no answer and are carried out seconds later.
     pub fn late_cloud(&self, share: f64) {
         self.inner.lock().unwrap().late_cloud = share;
@@ -1180,16 +1205,25 @@
                 if !run.live() {
                     continue;
                 }
-                run.left -= (now - run.advanced).as_secs_f64();
+                let slow = if run.phase == Phase::Running { machine.slow } else { 1.0 };
+                run.left -= (now - run.advanced).as_secs_f64() / slow;
                 run.advanced = now;
                 if run.left > 0.0 {
                     continue;
                 }
                 machine.changed = true;
                 match run.phase {
+                    Phase::Waiting => run.phase = Phase::Ended("alone", false),
                     Phase::Pulling => {
-                        run.phase = Phase::Running;
                         let job = run.piece.split('/').next().unwrap_or("");
+                        let gang = world.jobs.get(job).is_some_and(|job| job.shape == "gang");
+                        if gang && !world.results.contains(&run.piece) {
+                            run.phase = Phase::Waiting;
+                            run.left = GANG_WAIT_S;
+                            started.push((run.piece.clone(), run.attempt));
+                            continue;
+                        }
+                        run.phase = Phase::Running;
                         let run_s = world.jobs.get(job).map_or(1.0, |job| job.run_s);
                         run.left = if world.results.contains(&run.piece) { 0.0 } else { run_s };
                         if machine.sick {
@@ -1201,7 +1235,8 @@
                     Phase::Running => {
                         run.phase = Phase::Ended("done", false);
                         world.results.insert(run.piece.clone());
-                        self.record.line(&format!("{name}: {} try {} done", run.piece, run.attempt));
+                        self.record
+                            .line(&format!("{name}: {} try {} done", run.piece, run.attempt));
                     }
                     Phase::Flushing => run.phase = Phase::Ended("halted", true),
                     Phase::Ended(..) => {}
@@ -1211,6 +1246,7 @@
                 self.check_start(world, name, &piece, attempt);
             }
         }
+        self.advance_gangs(world);
         self.check_cancelled(world);
         drop(guard);
         for name in boots {
@@ -1218,6 +1254,81 @@
         }
     }
 
+    /// Starts the gangs of which every task waits, and ends those that lost a task while they ran.
+    /// A gang that is stopped saves nothing here.
+    fn advance_gangs(&self, world: &mut WorldState) {
+        let now = Instant::now();
+        let mut attempts: HashMap<(String, u64), (usize, usize)> = HashMap::new();
+        for machine in world.machines.values().filter(|m| !m.gone && m.trouble == Trouble::None) {
+            for run in &machine.runs {
+                let job = run.piece.split('/').next().unwrap_or("").to_string();
+                if world.jobs.get(&job).is_some_and(|job| job.shape == "gang") {
+                    let counts = attempts.entry((job, run.attempt)).or_default();
+                    counts.0 += usize::from(run.phase == Phase::Waiting);
+                    counts.1 += usize::from(run.phase == Phase::Running);
+                }
+            }
+        }
+        for ((id, attempt), (waiting, running)) in attempts {
+            let (pieces, run_s) = (world.jobs[&id].pieces as usize, world.jobs[&id].run_s);
+            let prefix = format!("{id}/");
+            let starts = waiting == pieces;
+            let broken = running > 0 && running < pieces;
+            if !starts && !broken {
+                continue;
+            }
+            for machine in world.machines.values_mut().filter(|m| !m.gone) {
+                for run in machine.runs.iter_mut() {
+                    if run.attempt != attempt || !run.piece.starts_with(&prefix) {
+                        continue;
+                    }
+                    if starts {
+                        (run.phase, run.left, run.advanced) = (Phase::Running, run_s, now);
+                        machine.changed = true;
+                    } else if run.phase == Phase::Running && run.left > 0.5 {
+                        run.phase = Phase::Ended("peers", false);
+                        machine.changed = true;
+                    }
+                }
+            }
+        }
+    }
+
+    /// The machines that are up, with the cores and the memory that no task takes. Machines on
+    /// which a task fetches its image count that task.
+    pub fn free(&self) -> Vec<(String, f64, f64)> {
+        let world = self.inner.lock().unwrap();
+        let up = world.machines.iter().filter(|(_, m)| {
+            m.addr.is_some() && !m.gone && m.trouble == Trouble::None && m.taken_at.is_none()
+        });
+        up.map(|(name, machine)| {
+            let mut free = (machine.build.cores, machine.build.memory_gb);
+            for run in machine.runs.iter().filter(|run| run.live()) {
+                if let Some(job) = world.jobs.get(run.piece.split('/').next().unwrap_or("")) {
+                    free = (free.0 - job.cores, free.1 - job.memory_gb);
+                }
+            }
+            (name.clone(), free.0, free.1)
+        })
+        .collect()
+    }
+    /// The cores that the tasks of a team take, those that fetch their images included.
+    pub fn used_by(&self, team: &str) -> f64 {
+        let world = self.inner.lock().unwrap();
+        let runs = world.machines.values().filter(|m| !m.gone).flat_map(|m| m.runs.iter());
+        let jobs = runs
+            .filter(|run| run.live())
+            .filter_map(|run| world.jobs.get(run.piece.split('/').next().unwrap_or("")));
+        jobs.filter(|job| job.team == team).map(|job| job.cores).sum()
+    }
+    /// Whether any task of a job was ever launched on a machine.
+    pub fn launched(&self, id: &str) -> bool {
+        let prefix = format!("{id}/");
+        let world = self.inner.lock().unwrap();
+        world.machines.values().any(|m| m.runs.iter().any(|r| r.piece.starts_with(&prefix)))
+            || world.results.iter().any(|piece| piece.starts_with(&prefix))
+    }
+
     fn check_start(&self, world: &mut WorldState, name: &str, piece: &str, attempt: u64) {
         world.starts += 1;
         self.record.line(&format!("{name}: {piece} try {attempt} starts"));
@@ -1229,7 +1340,9 @@
         let mut elsewhere = Vec::new();
         let mut cores = 0.0;
         let mut zones: Vec<String> = Vec::new();
-        for (other, machine) in world.machines.iter().filter(|(_, m)| !m.gone && m.trouble != Trouble::Dead) {
+        for (other, machine) in
+            world.machines.iter().filter(|(_, m)| !m.gone && m.trouble != Trouble::Dead)
+        {
             for run in machine.runs.iter().filter(|run| run.on_machine()) {
                 if run.piece == piece && other != name {
                     elsewhere.push(other.clone());
@@ -1273,7 +1386,9 @@
     fn check_cancelled(&self, world: &mut WorldState) {
         let limit = Duration::from_secs_f64(self.times.cancel_s);
         let mut late = Vec::new();
-        for (name, machine) in world.machines.iter().filter(|(_, m)| !m.gone && m.trouble != Trouble::Dead) {
+        for (name, machine) in
+            world.machines.iter().filter(|(_, m)| !m.gone && m.trouble != Trouble::Dead)
+        {
             for run in machine.runs.iter().filter(|run| run.on_machine()) {
                 let id = run.piece.split('/').next().unwrap_or("");
                 let Some(at) = world.cancelled_at.get(id) else { continue };
@@ -1317,6 +1432,7 @@
                 let mut fields = vec![("piece", text(&run.piece)), ("try", int(run.attempt))];
                 match run.phase {
                     Phase::Pulling => fields.push(("status", text("pulling"))),
+                    Phase::Waiting => fields.push(("status", text("waiting"))),
                     Phase::Running => fields.push(("status", text("running"))),
                     Phase::Flushing => fields.push(("status", text("flushing"))),
                     Phase::Ended(cause, stored) => {
@@ -1379,7 +1495,8 @@
                         Some(_) => Phase::Pulling,
                     };
                     let left = job.map_or(0.0, |job| {
-                        let fetch = Duration::from_secs_f64(job.pull_gb / machine.build.pull_gb_per_s);
+                        let fetch =
+                            Duration::from_secs_f64(job.pull_gb / machine.build.pull_gb_per_s);
                         let at = *machine.images.entry(job.image.clone()).or_insert(now + fetch);
                         at.saturating_duration_since(now).as_secs_f64()
                     });
@@ -1495,7 +1612,10 @@
                 let (Some(baton), Some(shift)) = (body.u64("baton"), body.u64("shift")) else {
                     return Reply::Answer(400, map(vec![]));
                 };
-                if now_expired(machine, self.times.lease_s) || baton < machine.baton || shift != machine.shift {
+                if now_expired(machine, self.times.lease_s)
+                    || baton < machine.baton
+                    || shift != machine.shift
+                {
                     self.record.line(&format!(
                         "{name}: refuses {} commands (baton {baton}, shift {shift})",
                         body.list("orders").len()
@@ -1520,6 +1640,7 @@
     fn report_loop(&self, name: &str) {
         let mut jitter = name.bytes().map(u64::from).sum::<u64>();
         let mut stream: Option<(usize, TcpStream)> = None;
+        self.report_once(name, &mut stream);
         loop {
             // Wait until a report is due.
             jitter = jitter.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
@@ -1720,6 +1841,7 @@
                             changed: true,
                             taken_at: None,
                             sick: false,
+                            slow: 1.0,
                         },
                     );
                     names.push(name);
@@ -1748,9 +1870,7 @@
                 let hosts = world
                     .machines
                     .iter()
-                    .filter(|(name, m)| {
-                        **name > from && !m.gone && now - m.rented > self.list_lag
-                    })
+                    .filter(|(name, m)| **name > from && !m.gone && now - m.rented > self.list_lag)
                     .take(500)
                     .map(|(name, m)| {
                         map(vec![
@@ -1819,32 +1939,33 @@
 
 // The nodes.
 
-/// The processes that this case has started and not ended yet.
-static PIDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// The folder of a case for its settings and logs; nodes that were started are listed there.
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
 
-/// Runs a case, ends all its processes, and exits with its code; with 2 if it takes too long or
-/// panics. `TROUBLE=0` leaves the disruption out.
-pub fn run_case(case: impl FnOnce(&Path, &Record, bool) -> i32) {
-    let folder = PathBuf::from(std::env::args().nth(1).expect("the folder of the case"));
+/// Runs a case and exits with its code, or with 2 if it panics. The arguments are a temporary
+/// folder, the repository's root and the record's path. `TROUBLE=0` leaves the disruption out.
+pub fn run_case(case: impl FnOnce(&Path, &Path, &Record, bool) -> i32) {
+    let argument = |n| PathBuf::from(std::env::args().nth(n).expect("three arguments"));
+    let (folder, root) = (argument(1), argument(2));
+    *FOLDER.lock().unwrap() = Some(folder.clone());
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = Record::new(&folder.join("record.txt"));
-    let limit = record.clone();
-    thread::spawn(move || {
-        thread::sleep(Duration::from_secs(117));
-        limit.line("the case takes too long");
-        for pid in PIDS.lock().unwrap().iter() {
-            let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
-        }
-        std::process::exit(2);
-    });
-    let root = std::env::current_dir().expect("the repository's root");
-    let run = std::panic::AssertUnwindSafe(|| case(&root, &record, trouble));
+    let record = Record::new(&argument(3));
+    let run = std::panic::AssertUnwindSafe(|| case(&root, &folder, &record, trouble));
     let code = std::panic::catch_unwind(run).unwrap_or(2);
     record.line(&format!("exit code {code}"));
-    println!("exit code {code}, see {}", folder.join("record.txt").display());
     std::process::exit(code);
 }
 
+/// Lists a process, so that the script can end it if the case does not.
+fn note_process(pid: u32) {
+    if let Some(folder) = FOLDER.lock().unwrap().as_ref() {
+        let list = File::options().create(true).append(true).open(folder.join("pids"));
+        if let Ok(mut list) = list {
+            let _ = writeln!(list, "{pid}");
+        }
+    }
+}
+
 pub struct Team {
     pub name: &'static str,
     pub cpus: f64,
@@ -1860,6 +1981,8 @@
     pub cloud_rps: f64,
     pub mem_mb: f64,
     pub max_sockets: usize,
+    /// Classes whose tasks are to start within so many s, with the share of the tasks.
+    pub start_within: Vec<(&'static str, f64, f64)>,
 }
 
 pub struct Nodes {
@@ -1873,13 +1996,9 @@
     record: Record,
 }
 
-fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").expect("a free port").local_addr().unwrap()
-}
-
 impl Nodes {
-    /// Writes the settings of the nodes; none is started. `peers` maps a node and its peer to the
-    /// address at which it finds the peer; by default that is the peer's own.
+    /// Writes the settings of the nodes; none is started. `state` has the address of the state
+    /// service for each node.
     pub fn new(
         root: &Path,
         folder: &Path,
@@ -1891,8 +2010,9 @@
         let count = deployment.count;
         let names: Vec<String> = (0..count).map(|n| format!("berth-{n}")).collect();
         // All listeners are held until the last port is chosen, so that the ports differ.
-        let held: Vec<TcpListener> =
-            (0..2 * count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+        let held: Vec<TcpListener> = (0..2 * count)
+            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+            .collect();
         let addrs: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().unwrap()).collect();
         drop(held);
         let (http, peer) = (addrs[..count].to_vec(), addrs[count..].to_vec());
@@ -1922,6 +2042,18 @@
                     ])
                 })
                 .collect();
+            let objectives = deployment
+                .start_within
+                .iter()
+                .map(|(class, within_s, share)| {
+                    map(vec![
+                        ("kind", text("wait")),
+                        ("class", text(class)),
+                        ("within_s", num(*within_s)),
+                        ("share", num(*share)),
+                    ])
+                })
+                .collect();
             let config = map(vec![
                 ("node_name", text(&names[n])),
                 ("domain", text(zone(n))),
@@ -1941,7 +2073,7 @@
                         ("count", int(count as u64)),
                         ("zones", Json::List(deployment.zones.iter().map(|z| text(z)).collect())),
                         ("teams", Json::List(teams)),
-                        ("objectives", Json::List(Vec::new())),
+                        ("objectives", Json::List(objectives)),
                         (
                             "workers",
                             map(vec![
@@ -2021,7 +2153,7 @@
             .spawn()
             .expect("the node can be started");
         self.record.line(&format!("node {n}: started"));
-        PIDS.lock().unwrap().push(child.id());
+        note_process(child.id());
         self.children[n] = Some(child);
     }
 
@@ -2029,7 +2161,6 @@
         if let Some(mut child) = self.children[n].take() {
             let _ = child.kill();
             let _ = child.wait();
-            PIDS.lock().unwrap().retain(|pid| *pid != child.id());
             self.record.line(&format!("node {n}: killed"));
         }
     }
@@ -2150,29 +2281,6 @@
     }
 }
 
-/// A folder of its own under the system's folder for temporary files, removed at the end.
-pub struct TempFolder(pub PathBuf);
-
-static FOLDERS: AtomicU64 = AtomicU64::new(0);
-
-impl TempFolder {
-    pub fn new() -> TempFolder {
-        let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
-        let name = format!("latchtrack-review-{}-{number}", std::process::id());
-        let path = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&path).expect("a temporary folder can be made");
-        TempFolder(path)
-    }
-}
-
-impl Drop for TempFolder {
-    fn drop(&mut self) {
-        if std::env::var("KEEP").is_err() {
-            let _ = std::fs::remove_dir_all(&self.0);
-        }
-    }
-}
-
 /// Waits until a condition holds.
 pub fn wait_for(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
     let until = Instant::now() + limit;
@@ -2199,6 +2307,7 @@
         cloud_rps: 8.0,
         mem_mb: 200.0,
         max_sockets: 4000,
+        start_within: Vec::new(),
     }
 }
 
@@ -2224,5 +2333,6 @@
         cloud_rps: 2.0,
         mem_mb: 56.0,
         max_sockets: 900,
+        start_within: Vec::new(),
     }
 }
