--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -921,8 +921,8 @@
     pub cancel_s: f64,
 }
 
-/// s for which a task of a gang waits for the others, as in the settings that the nodes get.
-const GANG_WAIT_S: f64 = 30.0;
+/// s for which a task of a gang waits for the others, as on the deployment with gangs (kolkata).
+const GANG_WAIT_S: f64 = 45.0;
 
 /// What a machine's network and processor do.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -1983,6 +1983,10 @@
     pub max_sockets: usize,
     /// Classes whose tasks are to start within so many s, with the share of the tasks.
     pub start_within: Vec<(&'static str, f64, f64)>,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub clock_off_ms: f64,
+    pub cpu: f64,
 }
 
 pub struct Nodes {
@@ -2079,8 +2083,8 @@
                             map(vec![
                                 ("report_s", num(deployment.times.report_s)),
                                 ("lease_s", num(deployment.times.lease_s)),
-                                ("gang_wait_s", num(30.0)),
-                                ("gang_peer_s", num(6.0)),
+                                ("gang_wait_s", num(deployment.gang_wait_s)),
+                                ("gang_peer_s", num(deployment.gang_peer_s)),
                                 ("cancel_s", num(deployment.times.cancel_s)),
                             ]),
                         ),
@@ -2100,12 +2104,12 @@
                         (
                             "machine_limits",
                             map(vec![
-                                ("cpu", num(0.24)),
+                                ("cpu", num(deployment.cpu)),
                                 ("mem_mb", num(deployment.mem_mb)),
                                 ("max_sockets", int(deployment.max_sockets as u64)),
                             ]),
                         ),
-                        ("clock_off_ms", num(1000.0)),
+                        ("clock_off_ms", num(deployment.clock_off_ms)),
                     ]),
                 ),
             ]);
@@ -2308,6 +2312,10 @@
         mem_mb: 200.0,
         max_sockets: 4000,
         start_within: Vec::new(),
+        gang_wait_s: 30.0,
+        gang_peer_s: 6.0,
+        clock_off_ms: 1000.0,
+        cpu: 0.24,
     }
 }
 
@@ -2334,5 +2342,9 @@
         mem_mb: 56.0,
         max_sockets: 900,
         start_within: Vec::new(),
+        gang_wait_s: 45.0,
+        gang_peer_s: 4.0,
+        clock_off_ms: 250.0,
+        cpu: 0.08,
     }
 }
